--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -59,6 +59,9 @@
   const mayStop = (waiting: Job, victim: Victim): boolean => {
     if (victim.stopping || stopped.has(victim.key)) return false;
     if (PRIORITY_RANK[victim.job.priority] > PRIORITY_RANK[waiting.priority]) return true;
+    // Never one of a higher priority, though the rules would allow it: room goes by priority first, so it would be
+    // stopped for the guarantee, stop the other by its priority in turn, and so on for ever.
+    if (PRIORITY_RANK[victim.job.priority] < PRIORITY_RANK[waiting.priority]) return false;
     if (victim.job.team === waiting.team) return false;
     const mine = input.teams.get(waiting.team);
     const theirs = input.teams.get(victim.job.team);
--- /dev/null
+++ b/test/decisions.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { eagerCandidates } from '../src/coordination/eager';
+import { planFleet, type FleetInput } from '../src/coordination/fleet';
+import { order, place, type WaitingJob } from '../src/coordination/placement';
+import { choosePreemptions } from '../src/coordination/preemption';
+import type { Job, MachineType, Priority } from '../src/protocol/model';
+
+const type: MachineType = {
+  ...{ name: 'm4', cpus: 4, gpus: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 1, spotPrice: 0.3, bootS: 10, zones: ['a', 'b'] },
+};
+
+function job(id: string, team: string, priority: Priority, fields: Partial<Job> = {}): Job {
+  return {
+    ...{
+      id,
+      jobClass: 'batch',
+      team,
+      priority,
+      tasks: 4,
+      cpus: 1,
+      gpus: 0,
+      memoryGb: 1,
+      types: null,
+      zone: null,
+    },
+    ...{ oneZone: false, spread: false, spot: true, image: 'img', imageGb: 1, estimateS: 10, checkpointS: 0 },
+    ...{ saveS: 0, deadlineS: null },
+    ...fields,
+  };
+}
+
+function waiting(j: Job, latestStart = 0): WaitingJob {
+  return { job: j, waiting: j.tasks, zones: new Map(), latestStart, avoid: new Set() };
+}
+
+const limits = (cpus: number): { cpus: number; cpus_max: number; gpus: number; gpus_max: number } => ({
+  ...{ cpus, cpus_max: 0, gpus: 0, gpus_max: 0 },
+});
+const roomy = (id: string, cpus: number) => ({
+  ...{
+    id,
+    type,
+    zone: 'a',
+    spot: true,
+    free: { cpus, gpus: 0, memoryGb: 16 },
+    images: new Map(),
+    busy: false,
+  },
+});
+
+test('room goes by priority, then by what guarantees owe, then by slack', () => {
+  const teams = new Map([
+    ['red', limits(2)],
+    ['blue', limits(0)],
+  ]);
+  const late = waiting(job('late', 'blue', 'normal'), 50);
+  const soon = waiting(job('soon', 'blue', 'normal'), 10);
+  const owed = waiting(job('owed', 'red', 'normal'), 90);
+  const high = waiting(job('high', 'blue', 'high'), 99);
+  const turns = order([late, soon, owed, high], teams);
+  const result = place({ turns, machines: [roomy('m', 7)], teams, use: new Map(), from: 0 }, () => false);
+  const count = (id: string): number => result.placements.filter((p) => p.job === id).length;
+  assert.deepEqual([count('high'), count('owed'), count('soon'), count('late')], [4, 2, 1, 0]);
+  assert.equal(result.unplaced.get('owed'), 2);
+});
+
+test('a round that runs out of time goes on where it stopped', () => {
+  const teams = new Map([['blue', limits(0)]]);
+  const turns = order(
+    [waiting(job('one', 'blue', 'normal'), 1), waiting(job('two', 'blue', 'normal'), 2)],
+    teams,
+  );
+  const machines = [roomy('m', 8)];
+  const first = place({ turns, machines, teams, use: new Map(), from: 0 }, () => true);
+  assert.equal(first.cursor, 1);
+  assert.ok(first.placements.every((p) => p.job === 'one'));
+  const second = place({ turns, machines, teams, use: new Map(), from: 1 }, () => true);
+  assert.equal(second.cursor, undefined);
+  assert.ok(second.placements.every((p) => p.job === 'two'));
+});
+
+test('a guarantee never stops work of a higher priority, so that two jobs do not stop each other for ever', () => {
+  const teams = new Map([
+    ['red', limits(4)],
+    ['blue', limits(0)],
+  ]);
+  const running = job('running', 'blue', 'high');
+  const machine = {
+    ...roomy('m', 0),
+    tasks: [0, 1, 2, 3].map((n) => ({ key: `running/${n}`, job: running, lossS: 1, stopping: false })),
+  };
+  const use = new Map([['blue', { cpus: 4, gpus: 0 }]]);
+  const ask = (priority: Priority): string[] =>
+    choosePreemptions({
+      unplaced: [{ waiting: waiting(job('owed', 'red', priority)), count: 1 }],
+      ...{ machines: [machine], teams, use },
+    });
+  assert.deepEqual(ask('normal'), []);
+  assert.equal(ask('high').length, 1);
+});
+
+test('one silent machine is given up; a whole silent zone is taken for a cut', () => {
+  const fleet = Array.from({ length: 10 }, (_, n) => ({
+    ...{ id: `m${n}`, zone: n < 5 ? 'a' : 'b', heardAt: 100_000, busy: true },
+  }));
+  const ask = (silent: (id: string) => boolean) =>
+    eagerCandidates({
+      machines: fleet.map((m) => (silent(m.id) ? { ...m, heardAt: 90_000 } : m)),
+      ...{ now: 100_000, missedMs: 2_000, releaseMs: 4_000 },
+    });
+  assert.deepEqual(ask((id) => id === 'm3').release, ['m3']);
+  assert.deepEqual(ask((id) => id < 'm5').release, []);
+});
+
+test('machines are rented for the backlog only, the cheapest first, and kept for what they have cost', () => {
+  const input: FleetInput = {
+    unplaced: [{ job: job('big', 'blue', 'normal', { tasks: 10 }), count: 10, urgent: false }],
+    machines: [
+      { id: 'booting', type, zone: 'a', spot: true, booting: true, ageMs: 1000, idleMs: 0 },
+      { id: 'young', type, zone: 'a', spot: true, booting: false, ageMs: 30_000, idleMs: 25_000 },
+      { id: 'dear', type, zone: 'a', spot: false, booting: false, ageMs: 90_000, idleMs: 25_000 },
+      { id: 'cheap', type, zone: 'a', spot: true, booting: false, ageMs: 90_000, idleMs: 25_000 },
+    ],
+    types: [type],
+    refused: () => false,
+    ...{ freeingCpus: 2, idleReleaseMs: 20_000, warmCpus: 8, freeCpus: 12 },
+  };
+  const plan = planFleet(input);
+  assert.deepEqual(
+    plan.rent.map((r) => [r.spot, r.count]),
+    [[true, 1]],
+  );
+  assert.deepEqual(plan.release, ['dear']);
+  const noSpot = planFleet({ ...input, refused: (option) => option.spot });
+  assert.deepEqual(
+    noSpot.rent.map((r) => [r.spot, r.count]),
+    [[false, 1]],
+  );
+});
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -86,6 +86,8 @@
 test('a job accepted after the takeover need not wait for silent workers', async () => {
   const world = new World();
   world.addWorker('b');
+  world.addWorker('b');
+  await world.clock.advance(12_000);
   await world.submit('req-1', { pieces: 1 }, 60);
   await world.until('1 tasks run', () => world.running.length >= 1);
   const machine = world.where('req-1/0') ?? '';
