--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -96,7 +96,8 @@
       put: KEY.machine(m.id),
       value: {
         ...{ block, address: '', type: m.type, zone: m.zone, spot: m.spot, up: false },
-        rentedAt: clock.date().getTime() - m.ageS * 1000,
+        // Counted from now: it has its time to come up like any other, though it was rented long ago.
+        rentedAt: clock.date().getTime(),
       },
     }));
     const guards = changes.map((c) => ({ key: c.put, version: 0 }));
