Never issue a task while another attempt of it is left anywhere

Read from the code and shown by a story: a report held up by a cut and delivered to the new owner showed an attempt long replaced. The table took it for the task's own, and when it proved gone the task was issued again though its real attempt ran on. Now a task whose attempt is gone goes back to any other attempt left, and surplus ones are stopped only once every machine is known.

--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -274,9 +274,7 @@
       const table = this.tables.get(attempt.job);
       if (kind === 'found') this.#found(machine, attempt, table);
       else if (kind === 'exited') this.#exited(machine, attempt, table);
-      else if (kind === 'gone') {
-        table?.lost(attempt.task, attempt.key);
-      }
+      else if (kind === 'gone' && table) this.#lost(table, attempt);
     }
     if (changes.length > 0) {
       if (!machine.busy) machine.idleSince = this.deps.clock.now();
@@ -286,12 +284,43 @@
 
   #found(machine: Machine, attempt: Attempt, table: DispatchTable | undefined): void {
     if (attempt.phase === 'exited') return;
-    const issued = table?.issued.get(attempt.task);
-    if (table && !issued && !table.isDone(attempt.task) && attempt.task < table.job.tasks) {
-      table.issue(attempt.task, machine.id, attempt.key);
-    } else {
-      // Its job is over, or its task is done or on another machine: nobody has any use for it.
+    if (!table) {
       this.#want(attempt, 0);
+    } else if (
+      !table.issued.has(attempt.task) &&
+      !table.isDone(attempt.task) &&
+      attempt.task < table.job.tasks
+    ) {
+      table.issue(attempt.task, machine.id, attempt.key);
+    }
+  }
+
+  /**
+   * The attempt is no more. Its task is issued again only if no other attempt of it is left anywhere: after a
+   * takeover a report that was held up may show one that has long been replaced, and what the table then held for
+   * the task was the wrong one of two.
+   */
+  #lost(table: DispatchTable, attempt: Attempt): void {
+    if (!table.lost(attempt.task, attempt.key)) return;
+    for (const machine of this.machines.values()) {
+      for (const other of machine.attempts.values()) {
+        if (other.job !== attempt.job || other.task !== attempt.task || !holdsRoom(other)) continue;
+        if (other.key === attempt.key) continue;
+        table.issue(other.task, machine.id, other.key);
+        return;
+      }
+    }
+  }
+
+  /** Once every machine is known, attempts that nobody has any use for are stopped. */
+  #stopSurplus(): void {
+    if (!this.#allSettled) return;
+    for (const machine of this.machines.values()) {
+      for (const attempt of machine.attempts.values()) {
+        const table = this.tables.get(attempt.job);
+        if (attempt.stop || !holdsRoom(attempt) || !table) continue;
+        if (table.issued.get(attempt.task)?.key !== attempt.key) this.#want(attempt, 0);
+      }
     }
   }
 
@@ -310,7 +339,7 @@
       this.#health.succeeded(machine);
       return;
     }
-    table.lost(task, attempt.key);
+    this.#lost(table, attempt);
     if (cause === 'error') {
       table.failed(machine.id, now);
       this.#health.failed(machine, table);
@@ -446,6 +475,7 @@
     if (signal.aborted || !this.entitled) return;
     const now = this.deps.clock.now();
     this.#expire(now);
+    this.#stopSurplus();
     this.#heedNotices(now);
     this.#placeAndPreempt(now);
     this.#eager(now);
@@ -612,6 +642,7 @@
     });
     machine.images.set(table.job.image, now);
     table.issue(task, machine.id, key);
+    this.deps.log.debug({ job, task, machine: id, attempt: number }, 'task issued');
   }
 
   #preempt(turns: readonly Turn[], usable: readonly Machine[], now: number): void {
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/dispatch-table.ts
@@ -76,14 +76,15 @@
     this.issued.set(task, { machine, key });
   }
 
-  /** The attempt is gone without a completion; its task may be issued again. */
-  lost(task: number, key: string): void {
-    if (this.issued.get(task)?.key !== key) return;
+  /** The attempt is gone without a completion. True: its task is unassigned again. */
+  lost(task: number, key: string): boolean {
+    if (this.issued.get(task)?.key !== key) return false;
     this.issued.delete(task);
-    if (this.#states[task] !== ISSUED) return;
+    if (this.#states[task] !== ISSUED) return false;
     this.#states[task] = UNASSIGNED;
     this.#unassigned += 1;
     this.#lowest = Math.min(this.#lowest, task);
+    return true;
   }
 
   /** The first completion counts. False: the task was done before, and this one is discarded. */
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -134,3 +134,40 @@
   await world.untilStanding('req-2', 'done');
   world.noRuleBroken();
 });
+
+test('after a takeover, a report held up from before does not displace the attempt that really runs', async () => {
+  const world = new World();
+  world.capacity = 1;
+  await world.submit('req-1', { cpus: 4, bookmarkS: 5, stashS: 1, reckonS: 100 }, 100);
+  await world.until('req-1/0 runs', () => world.where('req-1/0') !== undefined);
+  const first = world.worker(world.where('req-1/0') ?? '');
+  const held = first.report();
+  // An urgent job takes its place, and it goes on elsewhere.
+  await world.submit('req-2', { cpus: 4, urgency: 'urgent', reckonS: 100 }, 100);
+  await world.until('req-2/0 runs', () => world.where('req-2/0') === first.id);
+  world.capacity = 2;
+  await world.until('req-1/0 runs again', () => world.where('req-1/0') !== undefined);
+  const second = world.where('req-1/0') ?? '';
+  assert.notEqual(second, first.id);
+  const silenced = world.network.rule(({ from, to }) =>
+    from.startsWith('host-') || to.startsWith('10.1.') ? 'lose' : undefined,
+  );
+  world.kill(world.owner);
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  void world.network
+    .caller('late')
+    .call(world.controllers[owner]?.address ?? '', 'POST', '/hello', held, 4000);
+  await world.clock.advance(200);
+  const stops: string[] = [];
+  silenced();
+  world.network.rule(({ path, body }) => {
+    if (path === '/do' && JSON.stringify(body).includes('req-1/0')) stops.push(JSON.stringify(body));
+    return undefined;
+  });
+  for (let step = 0; step < 100; step += 1) {
+    await world.clock.advance(100);
+    assert.equal(world.where('req-1/0'), second, stops.join());
+  }
+  world.noRuleBroken();
+});
