--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -42,6 +42,7 @@
 /** A machine that stays silent although it may be a cut of ours is given up this long after its lease's end. */
 const GIVE_UP_AFTER_LEASE_MS = 20_000;
 const NOTICE_MARGIN_MS = 1_500;
+const SUMMARY_MS = 10_000;
 
 /**
  * The owner of one block. It holds what is wanted (jobs) and what is (machines and their attempts), and works out the
@@ -65,6 +66,7 @@
   #cursor = 0;
   #unplaced = new Map<string, number>();
   #complete = false;
+  #summedUpAt = -Infinity;
 
   constructor(
     readonly block: number,
@@ -482,6 +484,40 @@
     this.#retire(now);
     for (const machine of this.machines.values()) this.#command(machine);
     await this.#raiseIfNeeded(now);
+    if (now - this.#summedUpAt >= SUMMARY_MS) {
+      this.#summedUpAt = now;
+      this.#sumUp(now);
+    }
+  }
+
+  /** One line every now and then, by which an operator sees how the block does. */
+  #sumUp(now: number): void {
+    const sum = {
+      machines: 0,
+      booting: 0,
+      unusable: 0,
+      spot: 0,
+      cpus: 0,
+      usedCpus: 0,
+      runningCpus: 0,
+      waiting: 0,
+      unplaced: 0,
+    };
+    for (const m of this.machines.values()) {
+      sum.machines += 1;
+      if (m.record.spot) sum.spot += 1;
+      sum.cpus += m.type.cpus;
+      if (!m.up) sum.booting += 1;
+      else if (!this.#usable(m, now)) sum.unusable += 1;
+      for (const a of m.attempts.values()) {
+        if (!holdsRoom(a)) continue;
+        sum.usedCpus += a.needs.cpus;
+        if (a.phase === 'running') sum.runningCpus += a.needs.cpus;
+      }
+    }
+    for (const table of this.tables.values()) sum.waiting += table.unassigned;
+    for (const count of this.#unplaced.values()) sum.unplaced += count;
+    this.deps.log.info({ block: this.block, jobs: this.tables.size, ...sum }, 'block');
   }
 
   #expire(now: number): void {
