Ordinary machines only when slack runs out; place where machines stay busy

Ordinary machines cost 2.8 to 4.3 times a spot one; most nutrition and print work can wait for room.

--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -611,11 +611,23 @@
         zones: zones.get(job.id) ?? NO_ZONES,
         latestStart: this.#dueAt(table) - this.#estimates.runS(job) * 1000,
         avoid: table.errorMachines,
+        runS: this.#estimates.runS(job),
       });
     }
     return waiting;
   }
 
+  #busyForS(machine: Machine, now: number): number {
+    let longest = 0;
+    for (const attempt of machine.attempts.values()) {
+      const table = this.tables.get(attempt.job);
+      if (!table || !holdsRoom(attempt) || attempt.stop) continue;
+      const ranS = attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
+      longest = Math.max(longest, this.#estimates.runS(table.job) - ranS, 1);
+    }
+    return longest;
+  }
+
   /** When a job should be done, on the time-of-day clock: its deadline, or what the aims say of its class. */
   #dueAt(table: DispatchTable): number {
     const { job } = table;
@@ -643,7 +655,7 @@
       spot: m.record.spot,
       free: m.free(),
       images: m.images,
-      busy: m.busy,
+      busyForS: this.#busyForS(m, now),
     }));
     const from = this.#cursor < turns.length ? this.#cursor : 0;
     const endAt = this.deps.clock.now() + this.deps.settings.operator.round_budget_ms;
@@ -851,7 +863,9 @@
     const unplaced = [...this.#unplaced].flatMap(([id, count]) => {
       const table = this.tables.get(id);
       const urgent = table !== undefined && PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high;
-      return table ? [{ job: table.job, count: Math.min(count, table.unassigned), urgent }] : [];
+      if (!table) return [];
+      const slackMs = this.#dueAt(table) - this.#estimates.runS(table.job) * 1000 - clock.date().getTime();
+      return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -23,9 +23,17 @@
   count: number;
 }
 
+export interface UnplacedWork {
+  readonly job: Job;
+  readonly count: number;
+  readonly urgent: boolean;
+  /** How long its tasks can still wait and be in time. */
+  readonly slackMs: number;
+}
+
 export interface FleetInput {
   /** Tasks that found no room, in order. */
-  readonly unplaced: readonly { job: Job; count: number; urgent: boolean }[];
+  readonly unplaced: readonly UnplacedWork[];
   readonly machines: readonly FleetMachine[];
   readonly types: readonly MachineType[];
   /** Whether the cloud refused this option lately. */
@@ -45,6 +53,7 @@
 
 /** A machine costs at least this long, so an earlier release saves nothing. */
 const LEAST_CHARGE_MS = 60_000;
+const PATIENCE_IN_BOOTS = 1.5;
 
 export function optionKey(option: RentOption): string {
   return `${option.type.name}|${option.zone}|${option.spot ? 'spot' : 'ordinary'}`;
@@ -81,7 +90,7 @@
       isNew: false,
     }));
   let freeing = input.freeingCpus;
-  for (const { job, count, urgent } of input.unplaced) {
+  for (const { job, count, urgent, slackMs } of input.unplaced) {
     let left = count;
     if (!urgent) {
       const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
@@ -91,7 +100,7 @@
     while (left > 0) {
       let bin = bins.find((b) => mayUse(job, b.option) && fits(job, b.room));
       if (!bin) {
-        const option = cheapest(job, left, options, input.refused, perZone);
+        const option = cheapest(job, left, slackMs, options, input.refused, perZone);
         if (!option) break;
         perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
         const { cpus, gpus, memoryGb } = option.type;
@@ -116,6 +125,7 @@
 function cheapest(
   job: Job,
   tasks: number,
+  slackMs: number,
   options: readonly RentOption[],
   refused: (option: RentOption) => boolean,
   perZone: ReadonlyMap<string, number>,
@@ -125,6 +135,8 @@
   for (const option of options) {
     const fit = capacity(option.type, job);
     if (fit < 1 || !mayUse(job, option) || refused(option)) continue;
+    // Ordinary machines cost a multiple: work that can wait for spot ones to come free does.
+    if (!option.spot && job.spot && slackMs > option.type.bootS * 1000 * PATIENCE_IN_BOOTS) continue;
     const price = option.spot ? option.type.spotPrice : option.type.price;
     // Spread over the zones where the price is the same, so that a failing zone takes less with it.
     const cost = (price / Math.min(fit, tasks)) * (1 + 0.001 * (perZone.get(option.zone) ?? 0));
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -9,6 +9,8 @@
   /** Steady time by which it should start to be in time. */
   readonly latestStart: number;
   readonly avoid: ReadonlySet<string>;
+  /** How long a task of it should run. */
+  readonly runS: number;
 }
 
 export interface RoomyMachine {
@@ -18,7 +20,8 @@
   readonly spot: boolean;
   readonly free: Resources;
   readonly images: ReadonlyMap<string, number>;
-  readonly busy: boolean;
+  /** How long it will be busy with what it has, as far as estimates tell; 0 when it is empty. */
+  readonly busyForS: number;
 }
 
 export interface TeamUse {
@@ -95,12 +98,14 @@
 }
 
 /** How well a task suits a machine that has room for it: an image at hand, then little room left over. */
-function score(job: Job, m: RoomyMachine, free: Resources): number {
+function score(job: Job, runS: number, m: RoomyMachine, free: Resources): number {
   const cached = m.images.has(job.image) ? 4 : 0;
   const cpuLeft = (free.cpus - job.cpus) / m.type.cpus;
   const memoryLeft = (free.memoryGb - job.memoryGb) / m.type.memoryGb;
   // Spot machines are cheap: filling them lets the others go.
-  return cached + (m.spot ? 1.5 : 0) + (m.busy ? 1 : 0) - cpuLeft - 0.5 * Math.abs(cpuLeft - memoryLeft);
+  // A machine that stays busy anyway is the better one: the others run empty and can be returned.
+  const stays = m.busyForS > 0 ? 0.5 + 0.5 * Math.min(1, m.busyForS / runS) : 0;
+  return cached + (m.spot ? 1.5 : 0) + stays - cpuLeft - 0.5 * Math.abs(cpuLeft - memoryLeft);
 }
 
 export interface PlacementInput {
@@ -149,7 +154,7 @@
       for (const m of candidates) {
         const room = free.get(m.id);
         if (!room || !fits(job, room) || !zoneAllows(job, zones, m.zone)) continue;
-        const s = score(job, m, room);
+        const s = score(job, waiting.runS, m, room);
         if (s > bestScore) {
           best = m;
           bestScore = s;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -32,7 +32,7 @@
 }
 
 function waiting(j: Job, latestStart = 0): WaitingJob {
-  return { job: j, waiting: j.tasks, zones: new Map(), latestStart, avoid: new Set() };
+  return { job: j, waiting: j.tasks, zones: new Map(), latestStart, avoid: new Set(), runS: 10 };
 }
 
 const limits = (cpus: number): { cpus: number; cpus_max: number; gpus: number; gpus_max: number } => ({
@@ -116,7 +116,7 @@
 
 test('machines are rented for the backlog only, the cheapest first, and kept for what they have cost', () => {
   const input: FleetInput = {
-    unplaced: [{ job: job('big', 'blue', 'normal', { tasks: 10 }), count: 10, urgent: false }],
+    unplaced: [{ job: job('big', 'blue', 'normal', { tasks: 10 }), count: 10, urgent: false, slackMs: 0 }],
     machines: [
       { id: 'booting', type, zone: 'a', spot: true, booting: true, ageMs: 1000, idleMs: 0 },
       { id: 'young', type, zone: 'a', spot: true, booting: false, ageMs: 30_000, idleMs: 25_000 },
@@ -138,4 +138,6 @@
     noSpot.rent.map((r) => [r.spot, r.count]),
     [[false, 1]],
   );
+  const patient = input.unplaced.map((work) => ({ ...work, slackMs: 90_000 }));
+  assert.deepEqual(planFleet({ ...input, unplaced: patient, refused: (option) => option.spot }).rent, []);
 });
