--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -67,8 +67,8 @@
   missed_reports: z.number().min(1).default(2),
   silent_release_s: seconds.optional(),
   late_boot_factor: z.number().min(1).default(2.5),
-  idle_release_s: z.number().min(0).default(20),
-  warm_share: z.number().min(0).max(1).default(0.1),
+  idle_release_s: z.number().min(0).default(8),
+  warm_share: z.number().min(0).max(1).default(0.05),
   rent_patience: z.number().min(0).default(1),
 });
 
--- a/src/bookkeeping/session.ts
+++ b/src/bookkeeping/session.ts
@@ -17,6 +17,7 @@
 export class Session {
   #lease: number | undefined;
   #renewedAt = -Infinity;
+  #promisedUntil = -Infinity;
 
   constructor(
     private readonly node: string,
@@ -37,7 +38,17 @@
     // The lease is counted from when the renewal was sent. A view that is older than the lease could miss a
     // cancellation, so it bounds the node's right to act just the same.
     const base = Math.min(this.#renewedAt, this.cache.freshAt);
-    return base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS;
+    return Math.max(base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS, this.#promisedUntil);
+  }
+
+  /** All other nodes have promised not to take what we hold before this time. Only a right still held is prolonged. */
+  prolong(until: number): void {
+    if (this.valid) this.#promisedUntil = Math.max(this.#promisedUntil, until);
+  }
+
+  /** Whether the right to act is running out for want of answers from the state service. */
+  get waning(): boolean {
+    return this.#lease !== undefined && this.validUntil - this.clock.now() < this.ttlMs / 2;
   }
 
   get valid(): boolean {
@@ -71,6 +82,7 @@
     const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: { lease }, lease }], true);
     if (!result.ok) return;
     this.#renewedAt = sentAt;
+    this.#promisedUntil = -Infinity;
     this.#lease = lease;
     this.log.info({ lease, ttlMs: this.ttlMs }, 'this node has a lease');
   }
--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -13,6 +13,8 @@
   readonly #deletedAt = new Map<string, number>();
   readonly #listeners: ((event: Event) => void)[] = [];
   #revision = 0;
+  /** Deletions after this revision are all remembered. */
+  #deletesFrom = Infinity;
   #loaded = false;
   freshAt = -Infinity;
 
@@ -48,6 +50,14 @@
     for (const entry of this.#entries.values()) if (entry.key.startsWith(prefix)) yield entry;
   }
 
+  /** Deletions under a prefix after a revision, or undefined when not all of them are remembered. */
+  deletedSince(prefix: string, revision: number): { key: string; version: number }[] | undefined {
+    if (!this.#loaded || revision < this.#deletesFrom) return undefined;
+    return [...this.#deletedAt]
+      .filter(([key, version]) => version > revision && key.startsWith(prefix))
+      .map(([key, version]) => ({ key, version }));
+  }
+
   /** One step of the watch; to be run in a loop. */
   async step(): Promise<void> {
     if (!this.#loaded) {
@@ -63,7 +73,10 @@
     for (const event of news.events) this.#apply(event);
     this.#revision = Math.max(this.#revision, news.revision);
     this.freshAt = sentAt;
-    if (this.#deletedAt.size > REMEMBERED_DELETES) this.#deletedAt.clear();
+    if (this.#deletedAt.size > REMEMBERED_DELETES) {
+      this.#deletedAt.clear();
+      this.#deletesFrom = this.#revision;
+    }
   }
 
   /** Takes a change that somebody told us of ahead of the watch. */
@@ -95,6 +108,7 @@
     }
     // Pages are of different moments: the watch goes on from the first and brings all of them to one.
     this.#revision = first;
+    this.#deletesFrom = first;
     this.freshAt = sentAt;
     this.#loaded = true;
   }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -17,6 +17,7 @@
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 import { Leader } from './leader';
+import { Vouching } from './vouching';
 
 export interface Outside {
   clock: Clock;
@@ -54,6 +55,8 @@
   readonly #session: Session;
   readonly #leader: Leader;
   readonly #cloudView: CloudView;
+  readonly #vouching: Vouching;
+  #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
   readonly #progress = new Map<string, JobProgress>();
   readonly #leaderWake: Wake;
@@ -95,6 +98,13 @@
     };
     this.#cloudView = new CloudView(cloudApi, clock);
     this.#leader = new Leader(this.#deps, this.#cloudView);
+    this.#vouching = new Vouching(
+      this.#deps,
+      (message) => {
+        outside.broadcast(writePeerMessage(message));
+      },
+      () => this.#taking,
+    );
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -119,6 +129,7 @@
       await this.#ownerWake.wait(OWNER_PAUSE_MS);
       await this.#own();
     });
+    loop('vouching', () => this.#vouching.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
     loop('cloud list', () => this.#listCloud(signal), 3_000);
     loop('progress', async () => {
@@ -194,6 +205,14 @@
       this.#cache.offer(message.event);
       return;
     }
+    if (message.kind === 'ask') {
+      this.#vouching.onAsk(message.ask);
+      return;
+    }
+    if (message.kind === 'promise') {
+      this.#vouching.onPromise(message.promise);
+      return;
+    }
     if (message.fresh) this.#peersFreshAt = this.outside.clock.now();
     this.#takeProgress(message.jobs);
   }
@@ -216,6 +235,15 @@
 
   /** Takes the leases of the blocks that the leader assigned to this node. */
   async #own(): Promise<void> {
+    this.#taking = true;
+    try {
+      await this.#takeBlocks();
+    } finally {
+      this.#taking = false;
+    }
+  }
+
+  async #takeBlocks(): Promise<void> {
     const { node, cache, session, store, settings, log } = this.#deps;
     for (const [block, owner] of this.#owners) {
       const lease = read.lease(cache.get(KEY.lease(block))?.value);
@@ -225,7 +253,14 @@
     if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
     for (let block = 0; block < settings.operator.blocks; block += 1) {
       const record = read.block(cache.get(KEY.block(block))?.value);
-      if (record?.owner !== node || cache.get(KEY.lease(block)) || this.#owners.has(block)) continue;
+      if (record?.owner !== node || this.#owners.has(block)) continue;
+      const held = cache.get(KEY.lease(block));
+      if (held && read.lease(held.value)?.owner === node) {
+        // A taking of ours that got no answer was carried out after all. Its tables were never built: start over.
+        await store.txn([{ key: held.key, version: held.version }], [{ delete: held.key }], true);
+        continue;
+      }
+      if (held || !this.#vouching.mayTake) continue;
       const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
       const value = { owner: node, token: next };
       const result = await store.txn(
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -9,8 +9,24 @@
   done: number;
 }
 
+export interface Ask {
+  from: string;
+  number: number;
+  revision: number;
+}
+
+export interface PeerPromise {
+  from: string;
+  to: string;
+  number: number;
+  ended: { id: string; version: number }[];
+}
+
 export type PeerMessage =
-  { kind: 'nudge'; event: Event } | { kind: 'progress'; fresh: boolean; jobs: JobProgress[] };
+  | { kind: 'nudge'; event: Event }
+  | { kind: 'progress'; fresh: boolean; jobs: JobProgress[] }
+  | { kind: 'ask'; ask: Ask }
+  | { kind: 'promise'; promise: PeerPromise };
 
 const type = protobuf.parse(definition).root.lookupType('PeerMessage');
 
@@ -19,6 +35,8 @@
     const { fresh, jobs } = message;
     return type.encode(type.fromObject({ progress: { fresh, jobs } })).finish();
   }
+  if (message.kind === 'ask') return type.encode(type.fromObject({ ask: message.ask })).finish();
+  if (message.kind === 'promise') return type.encode(type.fromObject({ promise: message.promise })).finish();
   const { key, version, deleted, value } = message.event;
   const nudge = { key, version, deleted, value: deleted ? undefined : codec.encode(value) };
   return type.encode(type.fromObject({ nudge })).finish();
@@ -30,7 +48,11 @@
     const message = type.toObject(type.decode(bytes), { longs: Number, defaults: true }) as {
       nudge: { key: string; version: number; deleted: boolean; value: Uint8Array } | null;
       progress: { fresh: boolean; jobs: JobProgress[] } | null;
+      ask: Ask | null;
+      promise: PeerPromise | null;
     };
+    if (message.ask) return { kind: 'ask', ask: message.ask };
+    if (message.promise) return { kind: 'promise', promise: message.promise };
     if (message.nudge) {
       const { key, version, deleted, value } = message.nudge;
       const event: Event = deleted
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { NoAnswer, type HttpCaller } from '../transport/http-client';
+import { NoAnswer, type Answer, type HttpCaller } from '../transport/http-client';
 import type { RateLimit } from '../transport/rate-limit';
 
 export interface Entry {
@@ -32,6 +32,8 @@
 }
 
 export interface StateStore {
+  /** The last request failed: as far as this node can tell, the state service can't be reached. */
+  readonly troubled: boolean;
   get(key: string): Promise<Entry | null>;
   list(prefix: string, after?: string): Promise<{ entries: Entry[]; more: boolean; revision: number }>;
   txn(guards: Guard[], changes: Change[], urgent?: boolean): Promise<TxnResult>;
@@ -70,6 +72,8 @@
  * what is urgent (lease renewals, cancellations) goes ahead of the rest.
  */
 export class HttpStateStore implements StateStore {
+  #troubled = false;
+
   constructor(
     private readonly http: HttpCaller,
     private readonly address: string,
@@ -78,6 +82,10 @@
     private readonly timeoutMs: number,
   ) {}
 
+  get troubled(): boolean {
+    return this.#troubled;
+  }
+
   async get(key: string): Promise<Entry | null> {
     await this.requests.take();
     const answer = await this.#call('GET', `/store/${key}`, undefined);
@@ -151,7 +159,7 @@
   ): Promise<{ revision: number; events: Event[] } | undefined> {
     this.requests.takeNow();
     const path = `/changes?prefix=${encodeURIComponent(prefix)}&since=${since}&holdMs=${waitMs}`;
-    const answer = await this.http.call(this.address, 'GET', path, undefined, waitMs + this.timeoutMs);
+    const answer = await this.#call('GET', path, undefined, waitMs + this.timeoutMs);
     if (answer.status === 410) return undefined;
     const { ledger, news } = this.#parse(answer, changesSchema);
     return {
@@ -164,8 +172,15 @@
     };
   }
 
-  #call(method: string, path: string, body: unknown): Promise<{ status: number; body: unknown }> {
-    return this.http.call(this.address, method, path, body, this.timeoutMs);
+  async #call(method: string, path: string, body: unknown, timeoutMs = this.timeoutMs): Promise<Answer> {
+    try {
+      const answer = await this.http.call(this.address, method, path, body, timeoutMs);
+      this.#troubled = answer.status === 503;
+      return answer;
+    } catch (error) {
+      this.#troubled = true;
+      throw error;
+    }
   }
 
   #parse<T>(answer: { status: number; body: unknown }, schema: z.ZodType<T>): T {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -46,7 +46,7 @@
     spot: true,
     free: { cpus, gpus: 0, memoryGb: 16 },
     images: new Map(),
-    busy: false,
+    busyForS: 0,
   },
 });
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -41,6 +41,8 @@
   /** How many machines the cloud still has to rent. */
   capacity = 8;
   bootMs = 3000;
+  /** What controllers tell each other is lost. */
+  silencePeers = false;
   readonly #facts = new Map<string, JobFacts>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #on = new Map<string, string>();
@@ -63,7 +65,10 @@
     assert(own);
     const settings = makeSettings(
       {
-        ...{ node: own.name, area: 'a', bind: own.address, back: `10.0.0.${index + 1}:8081`, others: [] },
+        ...{ node: own.name, area: 'a', bind: own.address, back: `10.0.0.${index + 1}:8081` },
+        others: [0, 1, 2]
+          .filter((other) => other !== index)
+          .map((other) => ({ node: `node-${other}`, area: 'a', peer_addr: `10.0.0.${other + 1}:8081` })),
         external: { cloud: CLOUD, state: STATE },
         deployment: {
           zones: ['a', 'b'],
@@ -91,6 +96,7 @@
       log: quiet,
       http: this.network.caller(own.name),
       broadcast: (bytes) => {
+        if (this.silencePeers) return;
         for (const other of this.controllers) {
           if (other.alive && other.name !== own.name) other.node.onPeerFrame(Buffer.from(bytes));
         }
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -22,12 +22,63 @@
   world.noRuleBroken();
 });
 
+test('an outage longer than all leases: the controllers vouch for the owner, and no task is lost', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 3 }, 60);
+  await world.until('3 tasks run', () => world.running.length >= 3);
+  world.state.outage(true);
+  for (let second = 0; second < 30; second += 1) {
+    await world.clock.advance(1000);
+    assert.equal(world.running.length, 3, `after ${second} s`);
+  }
+  world.state.outage(false);
+  await world.untilStanding('req-1', 'done');
+  assert.equal([...world.workers.values()].flatMap((w) => w.startOrders).length, 3);
+  world.noRuleBroken();
+});
+
+test('a cancellation just before an outage reaches the owner through those who vouch for it', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 3 }, 200);
+  await world.until('3 tasks run', () => world.running.length >= 3);
+  const owner = `node-${world.owner}`;
+  const others = [0, 1, 2].filter((index) => index !== world.owner);
+  // The owner hears nothing of it: its watch is cut, and the nudge is lost with the answer to the user's node.
+  world.state.refused.add(owner);
+  world.silencePeers = true;
+  assert.equal(await world.cancel('req-1', others[0]), 'withdrawn');
+  world.state.outage(true);
+  world.silencePeers = false;
+  await world.clock.advance(25_000);
+  assert.deepEqual(world.running, []);
+  world.noRuleBroken();
+});
+
+test('one controller that can reach the state service, or is dead, is enough to stop a cut-off owner', async () => {
+  for (const dead of [false, true]) {
+    const world = new World();
+    await world.submit('req-1', { pieces: 3 }, 100);
+    await world.until('3 tasks run', () => world.running.length >= 3);
+    const owner = world.owner;
+    const [first = 0, second = 0] = [0, 1, 2].filter((index) => index !== owner);
+    world.state.refused.add(`node-${owner}`);
+    if (dead) world.kill(second);
+    world.state.refused.add(`node-${first}`);
+    await world.clock.advance(8000);
+    assert.equal(world.controllers[owner]?.node.owners.get(0)?.entitled ?? false, false);
+    if (!dead) assert.equal(await world.untilOwned(), second);
+    world.noRuleBroken();
+  }
+});
+
 test('a long outage: when it is over, the service takes up its work again', async () => {
   const world = new World();
   await world.submit('req-1', { pieces: 3 }, 10);
   await world.until('3 tasks run', () => world.running.length >= 3);
+  world.silencePeers = true;
   world.state.outage(true);
   await world.clock.advance(60_000);
+  assert.deepEqual(world.running, []);
   world.state.outage(false);
   await world.untilStanding('req-1', 'done');
   world.noRuleBroken();
