--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -609,7 +609,8 @@
         job,
         waiting: table.unassigned,
         zones: zones.get(job.id) ?? NO_ZONES,
-        latestStart: this.#dueAt(table) - this.#estimates.runS(job) * 1000,
+        slackMs: this.#slackMs(table),
+        work: table.remaining * job.cpus * this.#estimates.runS(job),
         avoid: table.errorMachines,
         runS: this.#estimates.runS(job),
       });
@@ -637,6 +638,11 @@
     return table.submittedAt + (within ?? 4 * this.#estimates.runS(job)) * 1000;
   }
 
+  /** How long the job's tasks can still wait and be in time, as far as estimates tell. */
+  #slackMs(table: DispatchTable): number {
+    return this.#dueAt(table) - this.#estimates.runS(table.job) * 1000 - this.deps.clock.date().getTime();
+  }
+
   #placeAndPreempt(now: number): void {
     const jobs = this.#waitingJobs(now);
     if (jobs.length === 0) {
@@ -864,7 +870,7 @@
       const table = this.tables.get(id);
       const urgent = table !== undefined && PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high;
       if (!table) return [];
-      const slackMs = this.#dueAt(table) - this.#estimates.runS(table.job) * 1000 - clock.date().getTime();
+      const slackMs = this.#slackMs(table);
       return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -6,8 +6,10 @@
   readonly waiting: number;
   /** How many of its tasks are, or may be, in each zone. */
   readonly zones: ReadonlyMap<string, number>;
-  /** Steady time by which it should start to be in time. */
-  readonly latestStart: number;
+  /** How long its tasks can still wait and be in time; negative when it is late already. */
+  readonly slackMs: number;
+  /** CPU seconds that its tasks still need. */
+  readonly work: number;
   readonly avoid: ReadonlySet<string>;
   /** How long a task of it should run. */
   readonly runS: number;
@@ -85,7 +87,10 @@
   readonly owed: boolean;
 }
 
-/** Turns in the order in which they get room: priority, then what guarantees owe, then the least slack. */
+/**
+ * Turns in the order in which they get room: priority, then what guarantees owe, then the least slack. Jobs that are
+ * late already come after those that can still be in time, the smallest first: most users are served so.
+ */
 export function order(jobs: readonly WaitingJob[], teams: ReadonlyMap<string, TeamLimits>): Turn[] {
   const turns: Turn[] = [];
   for (const waiting of jobs) {
@@ -94,7 +99,12 @@
     turns.push({ waiting, owed: false });
   }
   const rank = (turn: Turn): number => 2 * PRIORITY_RANK[turn.waiting.job.priority] + (turn.owed ? 0 : 1);
-  return turns.sort((a, b) => rank(a) - rank(b) || a.waiting.latestStart - b.waiting.latestStart);
+  const late = (turn: Turn): number => (turn.waiting.slackMs < 0 ? 1 : 0);
+  return turns.sort((a, b) => {
+    const byRank = rank(a) - rank(b) || late(a) - late(b);
+    if (byRank !== 0) return byRank;
+    return late(a) === 1 ? a.waiting.work - b.waiting.work : a.waiting.slackMs - b.waiting.slackMs;
+  });
 }
 
 /** How well a task suits a machine that has room for it: an image at hand, then little room left over. */
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -31,8 +31,8 @@
   };
 }
 
-function waiting(j: Job, latestStart = 0): WaitingJob {
-  return { job: j, waiting: j.tasks, zones: new Map(), latestStart, avoid: new Set(), runS: 10 };
+function waiting(j: Job, slackMs = 0, work = 1): WaitingJob {
+  return { job: j, waiting: j.tasks, zones: new Map(), slackMs, work, avoid: new Set(), runS: 10 };
 }
 
 const limits = (cpus: number): { cpus: number; cpus_max: number; gpus: number; gpus_max: number } => ({
@@ -66,6 +66,19 @@
   assert.equal(result.unplaced.get('owed'), 2);
 });
 
+test('what is late already comes after what can still be in time, the smallest first', () => {
+  const jobs = [
+    waiting(job('late big', 'blue', 'normal'), -90, 50),
+    waiting(job('late small', 'blue', 'normal'), -10, 5),
+    waiting(job('in time', 'blue', 'normal'), 70, 100),
+  ];
+  const turns = order(jobs, new Map([['blue', limits(0)]]));
+  assert.deepEqual(
+    turns.map((t) => t.waiting.job.id),
+    ['in time', 'late small', 'late big'],
+  );
+});
+
 test('a round that runs out of time goes on where it stopped', () => {
   const teams = new Map([['blue', limits(0)]]);
   const turns = order(
