--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -32,6 +32,8 @@
   );
   const node = new Node(settings, {
     clock: systemClock,
+    // Node counts performance.now() from the start of the process.
+    startedAt: 0,
     random: systemRandom,
     log,
     http: new HttpClient(codec, SOCKETS_PER_HOST, MAX_ANSWER_BYTES),
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -43,6 +43,9 @@
 const GIVE_UP_AFTER_LEASE_MS = 20_000;
 const NOTICE_MARGIN_MS = 1_500;
 const SUMMARY_MS = 10_000;
+const PROBE_EVERY_MS = 1_000;
+/** How long a machine may hold up a block that was taken over before it is returned. */
+const HELD_UP_MS = 5_000;
 
 /**
  * The owner of one block. It holds what is wanted (jobs) and what is (machines and their attempts), and works out the
@@ -437,6 +440,13 @@
       });
   }
 
+  /** A machine that has not shown our token yet is asked directly, for its report may be on its way elsewhere. */
+  #probeDue(machine: Machine, now: number): boolean {
+    if (machine.settled || !machine.up || now - machine.probedAt < PROBE_EVERY_MS) return false;
+    machine.probedAt = now;
+    return true;
+  }
+
   #neverStarted(machine: Machine, key: string): Change[] {
     const change = machine.neverStarted(key);
     return change ? [change] : [];
@@ -482,7 +492,7 @@
     this.#placeAndPreempt(now);
     this.#eager(now);
     this.#retire(now);
-    for (const machine of this.machines.values()) this.#command(machine);
+    for (const machine of this.machines.values()) this.#command(machine, this.#probeDue(machine, now));
     await this.#raiseIfNeeded(now);
     if (now - this.#summedUpAt >= SUMMARY_MS) {
       this.#summedUpAt = now;
@@ -563,6 +573,9 @@
       machine.leaving === undefined &&
       !machine.sick &&
       now >= machine.avoidUntil &&
+      // An answer to a command shows that the worker is there, but only an answered report renews its lease. What is
+      // issued to a worker whose lease has run out by our count would be dropped at once, though it starts.
+      now < this.#deadAt(machine) &&
       machine.heardAt !== undefined &&
       now - machine.heardAt <= this.#missedMs
     );
@@ -739,12 +752,20 @@
    * waiting task can use. The stop is confirmed by the worker, by the end of its lease, or by returning the machine.
    */
   #eager(now: number): void {
-    const up = [...this.machines.values()].filter((m) => m.up && m.heardAt !== undefined && !m.releasing);
+    const up = [...this.machines.values()].filter((m) => m.up && !m.releasing);
     const { candidates, release } = eagerCandidates({
-      machines: up.map((m) => ({ id: m.id, zone: m.record.zone, heardAt: m.heardAt, busy: m.busy })),
+      machines: up.map((m) => ({
+        id: m.id,
+        zone: m.record.zone,
+        heardAt: m.heardAt ?? m.firstSeenAt,
+        busy: m.busy,
+        // All that waits in the block waits for it: it was asked directly again and again, and gave no answer.
+        holdsUp: !m.settled,
+      })),
       now,
       missedMs: this.#missedMs,
       releaseMs: this.#silentReleaseMs,
+      heldUpMs: HELD_UP_MS,
     });
     for (const id of release) {
       const machine = this.machines.get(id);
--- a/src/coordination/eager.ts
+++ b/src/coordination/eager.ts
@@ -2,9 +2,11 @@
 export interface QuietMachine {
   readonly id: string;
   readonly zone: string;
-  /** Steady time of its last report; undefined: none came yet. */
-  readonly heardAt: number | undefined;
+  /** Steady time of its last report, or since when one is waited for. */
+  readonly heardAt: number;
   readonly busy: boolean;
+  /** Nothing in the block can be issued before it is known what is on it. */
+  readonly holdsUp: boolean;
 }
 
 export interface EagerInput {
@@ -14,6 +16,8 @@
   readonly missedMs: number;
   /** After this long its stop is confirmed by releasing it. */
   readonly releaseMs: number;
+  /** The same for one that holds up the block. */
+  readonly heldUpMs: number;
 }
 
 export interface EagerResult {
@@ -29,8 +33,10 @@
 
 /** The eager trigger: which machines have gone silent, and which of them to give up. */
 export function eagerCandidates(input: EagerInput): EagerResult {
-  const silentFor = (m: QuietMachine): number => (m.heardAt === undefined ? 0 : input.now - m.heardAt);
-  const silent = input.machines.filter((m) => silentFor(m) > input.missedMs);
+  const silentFor = (m: QuietMachine): number => input.now - m.heardAt;
+  const silent = input.machines.filter(
+    (m) => silentFor(m) > (m.holdsUp ? Math.min(input.missedMs, input.heldUpMs) : input.missedMs),
+  );
   silent.sort((a, b) => silentFor(b) - silentFor(a));
   const suspicious = (some: number, all: number): boolean => some > FEW && some > all * SUSPICIOUS_SHARE;
   const zoneOf = (zone: string, of: readonly QuietMachine[]): number =>
@@ -42,6 +48,8 @@
   );
   return {
     candidates: lost.filter((m) => m.busy).map((m) => m.id),
-    release: lost.filter((m) => silentFor(m) > input.releaseMs).map((m) => m.id),
+    release: lost
+      .filter((m) => silentFor(m) > (m.holdsUp ? Math.min(input.heldUpMs, input.releaseMs) : input.releaseMs))
+      .map((m) => m.id),
   };
 }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -55,6 +55,9 @@
   heardAt: number | undefined;
   /** No 200 can have reached the worker for a report sent after this time. */
   answeredAt: number;
+  /** Since when this owner knows it. */
+  readonly firstSeenAt: number;
+  probedAt = -Infinity;
   /** A message showed our token: nothing that an earlier owner sent can still start here. */
   settled = false;
   noticeUntil: number | undefined;
@@ -82,6 +85,7 @@
     readonly knownSince: number,
   ) {
     this.answeredAt = takenAt;
+    this.firstSeenAt = takenAt;
     this.up = record.up;
     this.idleSince = takenAt;
     // A machine that was never answered and never sent an order can't hold a task.
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -21,6 +21,8 @@
 
 export interface Outside {
   clock: Clock;
+  /** Steady time at which this process began. */
+  startedAt: number;
   random: Random;
   log: Log;
   http: HttpCaller;
@@ -104,6 +106,7 @@
         outside.broadcast(writePeerMessage(message));
       },
       () => this.#taking,
+      outside.startedAt,
     );
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
--- a/src/coordination/vouching.ts
+++ b/src/coordination/vouching.ts
@@ -25,9 +25,11 @@
     private readonly broadcast: (message: PeerMessage) => void,
     /** Whether this node is taking a block at this moment. */
     private readonly isTaking: () => boolean,
+    /** Steady time at which this process began. */
+    startedAt: number,
   ) {
     // A node that starts may have promised something before it died, which it no longer knows.
-    this.#boundUntil = deps.clock.now() + PROMISE_MS;
+    this.#boundUntil = startedAt + PROMISE_MS * (1 + DRIFT);
   }
 
   /** Whether no promise keeps this node from taking a block. */
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -116,15 +116,21 @@
 
 test('one silent machine is given up; a whole silent zone is taken for a cut', () => {
   const fleet = Array.from({ length: 10 }, (_, n) => ({
-    ...{ id: `m${n}`, zone: n < 5 ? 'a' : 'b', heardAt: 100_000, busy: true },
+    ...{ id: `m${n}`, zone: n < 5 ? 'a' : 'b', heardAt: 100_000, busy: true, holdsUp: false },
   }));
-  const ask = (silent: (id: string) => boolean) =>
+  const ask = (silent: (id: string) => boolean, heardAt = 90_000, holdsUp = false) =>
     eagerCandidates({
-      machines: fleet.map((m) => (silent(m.id) ? { ...m, heardAt: 90_000 } : m)),
-      ...{ now: 100_000, missedMs: 2_000, releaseMs: 4_000 },
+      machines: fleet.map((m) => (silent(m.id) ? { ...m, heardAt, holdsUp } : m)),
+      ...{ now: 100_000, missedMs: 2_000, releaseMs: 12_000, heldUpMs: 5_000 },
     });
-  assert.deepEqual(ask((id) => id === 'm3').release, ['m3']);
-  assert.deepEqual(ask((id) => id < 'm5').release, []);
+  assert.deepEqual(
+    ask((id) => id === 'm3'),
+    { candidates: ['m3'], release: [] },
+  );
+  assert.deepEqual(ask((id) => id === 'm3', 80_000).release, ['m3']);
+  // One that holds up a block that was taken over is given up sooner.
+  assert.deepEqual(ask((id) => id === 'm3', 94_000, true).release, ['m3']);
+  assert.deepEqual(ask((id) => id < 'm5', 80_000).release, []);
 });
 
 test('machines are rented for the backlog only, the cheapest first, and kept for what they have cost', () => {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -86,6 +86,7 @@
     );
     const node = new Node(settings, {
       clock: this.clock,
+      startedAt: this.clock.now(),
       random: {
         uniqueName: () => {
           this.#names += 1;
