--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -39,6 +39,8 @@
 /** A machine that stays silent although it may be a cut of ours is given up this long after its lease's end. */
 const GIVE_UP_AFTER_LEASE_MS = 20_000;
 const NOTICE_MARGIN_MS = 1_500;
+/** A task that should end this soon is not stopped for others. */
+const NEARLY_DONE_S = 5;
 const SUMMARY_MS = 10_000;
 const PROBE_EVERY_MS = 1_000;
 /** How long a machine may hold up a block that was taken over before it is returned. */
@@ -714,6 +716,9 @@
         // What was issued a moment ago is left alone: stopping it would only chase tasks about.
         if (!job || !holdsRoom(a) || a.phase === 'sent') return [];
         const ranS = a.runningSince === undefined ? 0 : (now - a.runningSince) / 1000;
+        // It will have made room by itself before a stop would pay.
+        if (this.#estimates.runS(job) - ranS < job.saveS + NEARLY_DONE_S && a.runningSince !== undefined)
+          return [];
         const lossS = job.checkpointS > 0 && ranS > 0 ? job.saveS : ranS;
         return [{ key: a.key, job, lossS, stopping: a.stop !== undefined }];
       }),
