--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -69,7 +69,7 @@
   late_boot_factor: z.number().min(1).default(2.5),
   idle_release_s: z.number().min(0).default(8),
   warm_share: z.number().min(0).max(1).default(0.05),
-  rent_patience: z.number().min(0).default(1),
+  rent_patience: z.number().min(0).default(2),
 });
 
 export type PlatformSettings = z.infer<typeof platformSchema>;
