Count a session's lease from when it can have begun

A worker whose lease ran out around the takeover had begun a session that no report's answer had renewed yet; tasks were started in it by command. Its lease runs from its own beginning, but ours ran from the takeover, so at its end the tasks were taken for dead and issued again while they ran.

--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -57,7 +57,7 @@
   tokenSeen = 0;
   /** Steady time of the last report that was newer than what we knew. */
   heardAt: number | undefined;
-  /** No 200 can have reached the worker for a report sent after this time. */
+  /** The worker's lease can't have begun later: no report sent after this was answered, and no session is younger. */
   answeredAt: number;
   /** Since when this owner knows it. */
   readonly firstSeenAt: number;
@@ -155,6 +155,9 @@
       // A later session proves that everything of the earlier ones is gone, late commands for them included.
       changes.push(...this.dropAll());
       this.session = report.session;
+      // A session has a full lease from its beginning, which may be as late as now, though no report of it was ever
+      // answered: counted from an earlier answer, its tasks would be taken for dead while they run.
+      this.answeredAt = Math.max(this.answeredAt, now);
       this.images.clear();
     }
     this.sequence = report.sequence;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -5,7 +5,7 @@
 import { planFleet, type FleetInput } from '../src/coordination/fleet';
 import { order, place, type WaitingJob } from '../src/coordination/placement';
 import { choosePreemptions } from '../src/coordination/preemption';
-import type { Job, MachineType, Priority } from '../src/protocol/model';
+import type { Job, MachineType, Priority, Report } from '../src/protocol/model';
 
 const type: MachineType = {
   ...{ name: 'm4', cpus: 4, gpus: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1 },
@@ -162,7 +162,12 @@
   assert.deepEqual(planFleet({ ...input, unplaced: patient, refused: (option) => option.spot }).rent, []);
 });
 
-test('a worker that answers commands but whose reports got no answer for a lease is given no starts', () => {
+function reportOf(session: number, sequence: number): Report {
+  const where = { machine: 'host-1', address: '10.1.0.1:9000', type: 'm4', zone: 'a', spot: true };
+  return { ...where, session, sequence, token: 1, noticeS: null, attempts: [] };
+}
+
+function machineTakenAt(now: number): Machine {
   const record = {
     block: 0,
     address: '10.1.0.1:9000',
@@ -172,27 +177,29 @@
     up: true,
     rentedAt: 0,
   };
-  const machine = new Machine('host-1', record, type, 0, 0);
-  const hear = (sequence: number, now: number): void => {
-    const report = {
-      machine: 'host-1',
-      address: record.address,
-      type: 'm4',
-      zone: 'a',
-      spot: true,
-      session: 1,
-      token: 1,
-    };
-    machine.absorb({ ...report, sequence, noticeS: null, attempts: [] }, now, () => {
-      throw new Error('there is nothing on it');
-    });
-    machine.settled = true;
-  };
-  hear(1, 1000);
+  return new Machine('host-1', record, type, now, now);
+}
+
+const unknownJob = (): never => {
+  throw new Error('there is nothing on it');
+};
+
+test('a worker that answers commands but whose reports got no answer for a lease is given no starts', () => {
+  const machine = machineTakenAt(0);
+  machine.absorb(reportOf(1, 1), 1000, unknownJob);
+  machine.settled = true;
   assert.equal(machine.mayStart(1500, 10_000, 2_000), true);
   // It answers commands all the time, but the lease that its reports renew has run out.
-  hear(2, 10_900);
-  assert.equal(machine.mayStart(11_000, 10_000, 2_000), false);
-  machine.answeredAt = 11_000;
-  assert.equal(machine.mayStart(11_100, 10_000, 2_000), true);
+  machine.absorb(reportOf(1, 2), 11_900, unknownJob);
+  assert.equal(machine.mayStart(12_000, 10_000, 2_000), false);
+  machine.answeredAt = 12_000;
+  assert.equal(machine.mayStart(12_100, 10_000, 2_000), true);
+});
+
+test('a session that began without any answer has its full lease from then', () => {
+  const machine = machineTakenAt(0);
+  machine.absorb(reportOf(1, 1), 100, unknownJob);
+  // Its lease ran out and the next session began, of which an answer to a command tells.
+  machine.absorb(reportOf(2, 1), 9_000, unknownJob);
+  assert.ok(machine.deadAt(10_000) > 19_000);
 });
