--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A setting that can't be used; the message names the field and the file in one line. */
 export class SettingsError extends Error {
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Job } from '../protocol/model';
 
 /**
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { NoAnswer, type HttpCaller } from '../transport/http-client';
 import type { RateLimit } from '../transport/rate-limit';
 import type { ListedMachine, MachineType } from './model';
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { NoAnswer, type Answer, type HttpCaller } from '../transport/http-client';
 import type { RateLimit } from '../transport/rate-limit';
 
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { decodeMap } from './codec';
 import type { Job, JobState, JobStatus, MachineType } from './model';
 
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { decodeMap } from './codec';
 import type { AttemptPhase, ExitCause, Order, Report } from './model';
 
