--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -25,7 +25,7 @@
   type Turn,
   type WaitingJob,
 } from './placement';
-import { choosePreemptions, type CrowdedMachine } from './preemption';
+import { choosePreemptions, stopCost, type CrowdedMachine } from './preemption';
 import { Recorder } from './recorder';
 
 const TICK_MS = 250;
@@ -719,7 +719,7 @@
         // It will have made room by itself before a stop would pay.
         if (this.#estimates.runS(job) - ranS < job.saveS + NEARLY_DONE_S && a.runningSince !== undefined)
           return [];
-        const lossS = job.checkpointS > 0 && ranS > 0 ? job.saveS : ranS;
+        const { lossS } = stopCost(job, ranS);
         return [{ key: a.key, job, lossS, stopping: a.stop !== undefined }];
       }),
     }));
@@ -728,7 +728,8 @@
       for (const attempt of machine.attempts.values()) {
         if (!victims.has(attempt.key)) continue;
         const job = this.tables.get(attempt.job)?.job;
-        this.#want(attempt, job && job.checkpointS > 0 ? job.saveS : 0);
+        const ranS = attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
+        this.#want(attempt, job ? stopCost(job, ranS).graceS : 0);
         this.deps.log.debug(
           { job: attempt.job, task: attempt.task, machine: machine.id },
           'stopped for others',
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -29,6 +29,16 @@
 
 const EPSILON = 1e-6;
 
+/**
+ * How to stop a running task, and how many seconds of work that costs. A task that saved by itself a moment ago loses
+ * less by being stopped at once than by the time that saving takes, and its room is free sooner.
+ */
+export function stopCost(job: Job, ranS: number): { graceS: number; lossS: number } {
+  if (job.checkpointS === 0) return { graceS: 0, lossS: ranS };
+  const unsavedS = ranS % job.checkpointS;
+  return unsavedS <= job.saveS ? { graceS: 0, lossS: unsavedS } : { graceS: job.saveS, lossS: job.saveS };
+}
+
 function add(room: Resources, job: Resources): void {
   room.cpus += job.cpus;
   room.gpus += job.gpus;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -4,7 +4,7 @@
 import { Machine } from '../src/coordination/machine';
 import { planFleet, type FleetInput } from '../src/coordination/fleet';
 import { order, place, type WaitingJob } from '../src/coordination/placement';
-import { choosePreemptions } from '../src/coordination/preemption';
+import { choosePreemptions, stopCost } from '../src/coordination/preemption';
 import type { Job, MachineType, Priority, Report } from '../src/protocol/model';
 
 const type: MachineType = {
@@ -115,6 +115,13 @@
   assert.equal(ask('high').length, 1);
 });
 
+test('a task that saved a moment ago is stopped at once, any other that can save is given time to', () => {
+  const saver = job('saver', 'blue', 'normal', { checkpointS: 20, saveS: 6 });
+  assert.deepEqual(stopCost(saver, 43), { graceS: 0, lossS: 3 });
+  assert.deepEqual(stopCost(saver, 55), { graceS: 6, lossS: 6 });
+  assert.deepEqual(stopCost(job('never', 'blue', 'normal'), 30), { graceS: 0, lossS: 30 });
+});
+
 test('one silent machine is given up; a whole silent zone is taken for a cut', () => {
   const fleet = Array.from({ length: 10 }, (_, n) => ({
     ...{ id: `m${n}`, zone: n < 5 ? 'a' : 'b', heardAt: 100_000, busy: true, holdsUp: false },
