New jobs of teams with limits start during a takeover

What may run unseen on an unknown machine is at most its size; it is counted against every team's limit instead.

--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -470,12 +470,15 @@
 
   /** Every machine of the block is known: it reported to us, or its lease from before has run out. */
   get #allSettled(): boolean {
-    for (const machine of this.machines.values()) {
-      if (!machine.settled) return false;
-      // A task of a job that is over, found after a takeover: whose limit it fills is not known until it is gone.
-      for (const attempt of machine.attempts.values())
-        if (attempt.team === '' && holdsRoom(attempt)) return false;
-    }
+    for (const machine of this.machines.values()) if (!this.#isKnown(machine)) return false;
+    return true;
+  }
+
+  #isKnown(machine: Machine): boolean {
+    if (!machine.settled) return false;
+    // A task of a job that is over, found after a takeover: whose limit it fills is not known until it is gone.
+    for (const attempt of machine.attempts.values())
+      if (attempt.team === '' && holdsRoom(attempt)) return false;
     return true;
   }
 
@@ -580,6 +583,14 @@
         use.set(attempt.team, team);
       }
     }
+    // What can't be seen yet may all belong to any one team.
+    for (const machine of this.machines.values()) {
+      if (this.#isKnown(machine)) continue;
+      for (const name of this.#teams.keys()) {
+        const team = use.get(name) ?? { cpus: 0, gpus: 0 };
+        use.set(name, { cpus: team.cpus + machine.type.cpus, gpus: team.gpus + machine.type.gpus });
+      }
+    }
     return use;
   }
 
@@ -598,13 +609,9 @@
     for (const table of this.tables.values()) {
       if (table.unassigned === 0 || table.retryAt > now) continue;
       const { job } = table;
-      if (!allSettled) {
-        // A task may still be on a machine that we have not heard of since we took the block. Only a job that was
-        // accepted after we took it can't be, and its team must have no limit that unseen tasks could fill.
-        const limits = this.#teams.get(job.team);
-        const limited = limits !== undefined && (limits.cpus_max > 0 || limits.gpus_max > 0);
-        if (table.version <= this.takenRevision || limited) continue;
-      }
+      // A task may still be on a machine that we have not heard of since we took the block. Only a job that was
+      // accepted after we took it can't be; what its team may use there is counted against its limit.
+      if (!allSettled && table.version <= this.takenRevision) continue;
       waiting.push({
         job,
         waiting: table.unassigned,
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -188,3 +188,31 @@
   assert.ok(world.clock.now() - takenAt < 8000, `${world.clock.now() - takenAt} ms`);
   world.noRuleBroken();
 });
+
+test('a new job of a team with a limit starts during a takeover, if the limit holds whatever is still unseen', async () => {
+  for (const [limitCpus, startsEarly] of [
+    [8, true],
+    [4, false],
+  ] as const) {
+    const world = new World({ limitCpus });
+    world.addWorker('b');
+    world.addWorker('b');
+    await world.clock.advance(12_000);
+    await world.submit('req-1', { crew: 'red', pieces: 1 }, 60);
+    await world.until('1 tasks run', () => world.running.length >= 1);
+    const machine = world.where('req-1/0') ?? '';
+    const { address } = world.worker(machine);
+    world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    world.network.rule(({ from, to }) => (from === machine || to === address ? 'lose' : undefined));
+    world.kill(world.owner);
+    await world.clock.advance(100);
+    const owner = await world.untilOwned();
+    await world.submit('req-2', { crew: 'red', pieces: 1 }, 5, owner);
+    await world.clock.advance(7000);
+    assert.equal(
+      world.where('req-2/0') !== undefined || (await world.standing('req-2', owner)) === 'done',
+      startsEarly,
+    );
+    world.noRuleBroken();
+  }
+});
