--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -12,7 +12,7 @@
 import type { FleetInput, FleetMachine, RentOption } from './fleet';
 import { FleetManager } from './fleet-manager';
 import { Health } from './health';
-import { attemptNumber, holdsRoom, issueToken, Machine, type Attempt, type Change } from './machine';
+import { attemptNumber, holdsRoom, issueToken, Machine, ranS, type Attempt, type Change } from './machine';
 import {
   fits,
   mayUse,
@@ -60,11 +60,9 @@
   readonly #fleet: FleetManager;
   readonly #wake: Wake;
   readonly #stop = new AbortController();
-  readonly #takenAt: number;
   readonly #upWrites = new Map<string, Promise<boolean>>();
   #counter = 0;
   #raisedAt: number;
-  #raising = false;
   #cursor = 0;
   #unplaced = new Map<string, number>();
   #complete = false;
@@ -81,8 +79,7 @@
     const all = deps.settings.platform.deployment.teams;
     this.#teams = new Map(all.filter((t) => teams.includes(t.name)).map((t) => [t.name, t]));
     this.#wake = new Wake(deps.clock);
-    this.#takenAt = deps.clock.now();
-    this.#raisedAt = this.#takenAt;
+    this.#raisedAt = deps.clock.now();
     this.#recorder = new Recorder(this, deps);
     this.#fleet = new FleetManager(this, deps);
     for (const entry of deps.cache.under(PREFIX.job)) this.#loadJob(entry.value, entry.version);
@@ -554,8 +551,7 @@
         const table = this.tables.get(attempt.job);
         if (!table || attempt.stop || !holdsRoom(attempt)) continue;
         const leftMs = machine.noticeUntil - now;
-        const ranMs = attempt.runningSince === undefined ? 0 : now - attempt.runningSince;
-        const neededMs = this.#estimates.runS(table.job) * 1000 - ranMs;
+        const neededMs = (this.#estimates.runS(table.job) - ranS(attempt, now)) * 1000;
         const fetching = attempt.phase !== 'running';
         if (!fetching && neededMs < leftMs - NOTICE_MARGIN_MS) continue;
         const { checkpointS, saveS } = table.job;
@@ -630,8 +626,7 @@
     for (const attempt of machine.attempts.values()) {
       const table = this.tables.get(attempt.job);
       if (!table || !holdsRoom(attempt) || attempt.stop) continue;
-      const ranS = attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
-      longest = Math.max(longest, this.#estimates.runS(table.job) - ranS, 1);
+      longest = Math.max(longest, this.#estimates.runS(table.job) - ranS(attempt, now), 1);
     }
     return longest;
   }
@@ -722,11 +717,11 @@
         const job = this.tables.get(a.job)?.job;
         // What was issued a moment ago is left alone: stopping it would only chase tasks about.
         if (!job || !holdsRoom(a) || a.phase === 'sent') return [];
-        const ranS = a.runningSince === undefined ? 0 : (now - a.runningSince) / 1000;
+        const ran = ranS(a, now);
         // It will have made room by itself before a stop would pay.
-        if (this.#estimates.runS(job) - ranS < job.saveS + NEARLY_DONE_S && a.runningSince !== undefined)
+        if (this.#estimates.runS(job) - ran < job.saveS + NEARLY_DONE_S && a.runningSince !== undefined)
           return [];
-        const { lossS } = stopCost(job, ranS);
+        const { lossS } = stopCost(job, ran);
         return [{ key: a.key, job, lossS, stopping: a.stop !== undefined }];
       }),
     }));
@@ -735,8 +730,7 @@
       for (const attempt of machine.attempts.values()) {
         if (!victims.has(attempt.key)) continue;
         const job = this.tables.get(attempt.job)?.job;
-        const ranS = attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
-        this.#want(attempt, job ? stopCost(job, ranS).graceS : 0);
+        this.#want(attempt, job ? stopCost(job, ranS(attempt, now)).graceS : 0);
         this.deps.log.debug(
           { job: attempt.job, task: attempt.task, machine: machine.id },
           'stopped for others',
@@ -821,7 +815,6 @@
 
   /** A higher token makes every worker refuse what was sent under the lower ones and never answered. */
   async #raiseIfNeeded(now: number): Promise<void> {
-    if (this.#raising) return;
     const since = now - this.#raisedAt;
     if (since < RAISE_IN_DOUBT_MS) return;
     let needed = false;
@@ -833,26 +826,21 @@
       }
     }
     if (!needed) return;
-    this.#raising = true;
-    try {
-      const { cache, store, session } = this.deps;
-      const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
-      if (session.lease === undefined || next <= this.token) return;
-      const result = await store.txn(
-        [this.leaseGuard(), { key: KEY.baton, version: cache.version(KEY.baton) }],
-        [
-          { put: KEY.baton, value: { next } },
-          { put: KEY.lease(this.block), value: { owner: this.deps.node, token: next }, lease: session.lease },
-        ],
-      );
-      if (result.ok && next > this.token) {
-        this.token = next;
-        this.leaseVersion = result.revision;
-        this.#raisedAt = now;
-        this.deps.log.debug({ block: this.block, token: next }, 'token raised');
-      }
-    } finally {
-      this.#raising = false;
+    const { cache, store, session } = this.deps;
+    const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
+    if (session.lease === undefined || next <= this.token) return;
+    const result = await store.txn(
+      [this.leaseGuard(), { key: KEY.baton, version: cache.version(KEY.baton) }],
+      [
+        { put: KEY.baton, value: { next } },
+        { put: KEY.lease(this.block), value: { owner: this.deps.node, token: next }, lease: session.lease },
+      ],
+    );
+    if (result.ok && next > this.token) {
+      this.token = next;
+      this.leaseVersion = result.revision;
+      this.#raisedAt = now;
+      this.deps.log.debug({ block: this.block, token: next }, 'token raised');
     }
   }
 
@@ -880,8 +868,7 @@
       for (const a of m.attempts.values()) {
         const table = this.tables.get(a.job);
         if (!holdsRoom(a) || !table) continue;
-        const endsMs =
-          this.#estimates.runS(table.job) * 1000 - (a.runningSince === undefined ? 0 : now - a.runningSince);
+        const endsMs = (this.#estimates.runS(table.job) - ranS(a, now)) * 1000;
         if (endsMs < m.type.bootS * 1000 * settings.operator.rent_patience) freeingCpus += a.needs.cpus;
       }
     }
@@ -894,18 +881,8 @@
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
-    return {
-      ...{
-        unplaced,
-        machines,
-        types: this.deps.types(),
-        refused,
-        freeingCpus,
-        idleReleaseMs,
-        warmCpus,
-        freeCpus,
-      },
-    };
+    const types = this.deps.types();
+    return { unplaced, machines, types, refused, freeingCpus, idleReleaseMs, warmCpus, freeCpus };
   }
 
   /** How far each job is, for display. */
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -49,6 +49,11 @@
   return attempt.phase !== 'exited';
 }
 
+/** How long the attempt has run, as far as its owner saw. */
+export function ranS(attempt: Attempt, now: number): number {
+  return attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
+}
+
 /** One machine as its block's owner knows it: what is on it, or may be. */
 export class Machine {
   readonly attempts = new Map<string, Attempt>();
--- a/src/coordination/vouching.ts
+++ b/src/coordination/vouching.ts
@@ -4,7 +4,7 @@
 import type { Deps } from './deps';
 
 /** How long a promise binds, and what of it the asker leaves unused. */
-export const PROMISE_MS = 2_500;
+const PROMISE_MS = 2_500;
 const UNUSED_MS = 400;
 const ASK_EVERY_MS = 400;
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -94,7 +94,6 @@
           this.#names += 1;
           return `booking-${this.#names}`;
         },
-        fraction: () => 0.5,
       },
       log: quiet,
       http: this.network.caller(own.name),
