--- /dev/null
+++ b/src/base/loop.ts
@@ -0,0 +1,23 @@
+import type { Clock } from './clock';
+import type { Log } from './log';
+
+/** Runs a step again and again until the signal. A step that throws is logged; the loop goes on after a pause. */
+export async function runLoop(
+  name: string,
+  step: () => Promise<void>,
+  deps: { clock: Clock; log: Log; signal: AbortSignal },
+  pauseAfterErrorMs = 500,
+): Promise<void> {
+  while (!deps.signal.aborted) {
+    try {
+      await step();
+    } catch (error) {
+      deps.log.warn({ loop: name, err: describe(error) }, 'a loop step failed; it goes on');
+      await deps.clock.sleep(pauseAfterErrorMs, deps.signal);
+    }
+  }
+}
+
+export function describe(error: unknown): string {
+  return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
+}
--- /dev/null
+++ b/src/base/settings.ts
@@ -0,0 +1,140 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import { z } from 'zod';
+
+/** A setting that can't be used; the message names the field and the file in one line. */
+export class SettingsError extends Error {
+  override name = 'SettingsError';
+}
+
+const address = z.string().regex(/^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$/, 'must be IP:PORT');
+const seconds = z.number().positive();
+const name = z.string().min(1);
+
+const objective = z.object({
+  kind: z.string(),
+  class: z.string().optional(),
+  share: z.number().optional(),
+  times: z.number().optional(),
+  within_s: z.number().optional(),
+});
+
+/** The file that the platform hands over. Fields that it may have beyond these are ignored. */
+const platformSchema = z.object({
+  node: name,
+  area: name,
+  bind: address,
+  back: address,
+  others: z.array(z.object({ node: name, area: name, peer_addr: address })).default([]),
+  external: z.object({ cloud: address, state: address }),
+  deployment: z.object({
+    zones: z.array(name).default([]),
+    time_bound_ms: z.number().min(0).default(1000),
+    teams: z
+      .array(
+        z.object({
+          name,
+          cpus: z.number().min(0).default(0),
+          cpus_max: z.number().min(0).default(0),
+          gpus: z.number().min(0).default(0),
+          gpus_max: z.number().min(0).default(0),
+        }),
+      )
+      .min(1),
+    objectives: z.array(objective).default([]),
+    workers: z.object({ report_s: seconds, lease_s: seconds, cancel_s: seconds }),
+    state: z.object({
+      rps: z.number().positive(),
+      write_rps: z.number().positive(),
+      value_kb: z.number().positive(),
+      txn_ops: z.int().min(8),
+    }),
+    cloud: z.object({ rps: z.number().positive(), list_lag_s: z.number().min(0) }),
+    quota: z.object({
+      cpu: z.number().positive().default(1),
+      mem_mb: z.number().positive().default(256),
+      fd_limit: z.int().min(32).default(1024),
+    }),
+  }),
+});
+
+/** The operators' own settings; every one has a default, explained in docs/OPERATIONS.md. */
+const operatorSchema = z.strictObject({
+  blocks: z.int().min(1).max(64).default(1),
+  block_lease_s: seconds.optional(),
+  round_budget_ms: seconds.default(12),
+  flush_ms: seconds.default(400),
+  missed_reports: z.number().min(1).default(2),
+  silent_release_s: seconds.optional(),
+  late_boot_factor: z.number().min(1).default(2.5),
+  idle_release_s: z.number().min(0).default(20),
+  warm_share: z.number().min(0).max(1).default(0.1),
+  rent_patience: z.number().min(0).default(1),
+});
+
+export type PlatformSettings = z.infer<typeof platformSchema>;
+export type OperatorSettings = z.infer<typeof operatorSchema>;
+export type Objective = z.infer<typeof objective>;
+
+export interface Settings {
+  platform: PlatformSettings;
+  operator: OperatorSettings;
+  /** Longest time that a controller may act on a block without news from the state service. */
+  blockLeaseMs: number;
+}
+
+const MAX_BLOCK_LEASE_MS = 30_000;
+/** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
+const CANCEL_MARGIN_MS = 4_000;
+const MIN_BLOCK_LEASE_MS = 2_000;
+
+function check<T>(schema: z.ZodType<T>, value: unknown, file: string): T {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  const path = issue?.path.join('.');
+  throw new SettingsError(`${file}: ${path ? `${path}: ` : ''}${issue?.message ?? 'invalid'}`);
+}
+
+function readToml(file: string): unknown {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`${file}: cannot be read (${(error as NodeJS.ErrnoException).code ?? 'error'})`);
+  }
+  try {
+    return parse(text);
+  } catch (error) {
+    const line = (error as Error).message.split('\n')[0] ?? '';
+    throw new SettingsError(`${file}: not TOML: ${line}`);
+  }
+}
+
+export function makeSettings(
+  platform: unknown,
+  operator: unknown,
+  files = ['settings', 'options'],
+): Settings {
+  const p = check(platformSchema, platform, files[0] ?? '');
+  const o = check(operatorSchema, operator, files[1] ?? '');
+  const { lease_s, cancel_s } = p.deployment.workers;
+  // A cut-off owner may answer workers until its lease ends, and their tasks live one worker lease longer.
+  // A cancellation that it can't hear of must still hold: block lease + worker lease + margin <= cancel_s.
+  const longest = Math.min(MAX_BLOCK_LEASE_MS, (cancel_s - lease_s) * 1000 - CANCEL_MARGIN_MS);
+  if (longest < MIN_BLOCK_LEASE_MS) {
+    throw new SettingsError(`${files[0]}: deployment.workers.cancel_s: leaves no time for a block lease`);
+  }
+  const wanted = o.block_lease_s === undefined ? longest : o.block_lease_s * 1000;
+  if (wanted > longest || wanted < MIN_BLOCK_LEASE_MS) {
+    throw new SettingsError(
+      `${files[1]}: block_lease_s: must lie between ${MIN_BLOCK_LEASE_MS / 1000} and ${longest / 1000}`,
+    );
+  }
+  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted) };
+}
+
+export function readSettings(platformFile: string, operatorFile?: string): Settings {
+  const operator = operatorFile === undefined ? {} : readToml(operatorFile);
+  return makeSettings(readToml(platformFile), operator, [platformFile, operatorFile ?? 'defaults']);
+}
--- /dev/null
+++ b/src/bookkeeping/records.ts
@@ -0,0 +1,94 @@
+import { z } from 'zod';
+import type { Job } from '../protocol/model';
+
+/**
+ * The records in the state service. Everything that is in work lies under one prefix, which every node watches;
+ * final states lie apart and are read when asked for, so that what a node holds stays small.
+ */
+export const LIVE = 'live/';
+export const KEY = {
+  leader: 'live/leader',
+  baton: 'live/baton',
+  types: 'live/types',
+  node: (node: string) => `live/node/${node}`,
+  block: (block: number) => `live/block/${block}`,
+  lease: (block: number) => `live/lease/${block}`,
+  machine: (id: string) => `live/machine/${id}`,
+  job: (id: string) => `live/job/${id}`,
+  done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
+  final: (id: string) => `final/${id}`,
+};
+export const PREFIX = {
+  node: 'live/node/',
+  machine: 'live/machine/',
+  job: 'live/job/',
+  done: 'live/done/',
+};
+
+const count = z.int().min(0);
+
+const nodeRecord = z.object({ lease: z.int() });
+const leaderRecord = z.object({ node: z.string() });
+const batonRecord = z.object({ next: count });
+const blockRecord = z.object({ owner: z.string(), teams: z.array(z.string()) });
+const leaseRecord = z.object({ owner: z.string(), token: count });
+const machineRecord = z.object({
+  block: count,
+  address: z.string(),
+  type: z.string(),
+  zone: z.string(),
+  spot: z.boolean(),
+  /** Set before the machine is first answered: one that isn't up can't hold a task. */
+  up: z.boolean(),
+  /** Time of day of the rental, for ageing only. */
+  rentedAt: z.number(),
+});
+const finalRecord = z.object({ state: z.enum(['done', 'cancelled']), done: count });
+const doneRecord = z.object({ bits: z.string() });
+const jobRecord = z.object({
+  job: z.custom<Job>((v) => typeof v === 'object' && v !== null && 'id' in v && 'tasks' in v),
+  submittedAt: z.number(),
+});
+const typesRecord = z.object({
+  types: z.array(
+    z.object({
+      name: z.string(),
+      cpus: z.number(),
+      gpus: z.number(),
+      memoryGb: z.number(),
+      cacheGb: z.number(),
+      fetchGbPerS: z.number(),
+      price: z.number(),
+      spotPrice: z.number(),
+      bootS: z.number(),
+      zones: z.array(z.string()),
+    }),
+  ),
+});
+
+export type NodeRecord = z.infer<typeof nodeRecord>;
+export type BlockRecord = z.infer<typeof blockRecord>;
+export type LeaseRecord = z.infer<typeof leaseRecord>;
+export type MachineRecord = z.infer<typeof machineRecord>;
+export type FinalRecord = z.infer<typeof finalRecord>;
+export type JobRecord = z.infer<typeof jobRecord>;
+
+function reader<T>(schema: z.ZodType<T>): (value: unknown) => T | undefined {
+  return (value) => {
+    const parsed = schema.safeParse(value);
+    return parsed.success ? parsed.data : undefined;
+  };
+}
+
+export const read = {
+  node: reader(nodeRecord),
+  leader: reader(leaderRecord),
+  baton: reader(batonRecord),
+  block: reader(blockRecord),
+  lease: reader(leaseRecord),
+  machine: reader(machineRecord),
+  final: reader(finalRecord),
+  done: reader(doneRecord),
+  job: reader(jobRecord),
+  types: reader(typesRecord),
+};
--- /dev/null
+++ b/src/bookkeeping/session.ts
@@ -0,0 +1,89 @@
+import type { Clock } from '../base/clock';
+import type { Log } from '../base/log';
+import type { StateStore } from '../protocol/state';
+import { KEY, read } from './records';
+import type { WatchCache } from './watch-cache';
+
+/** Steady clocks drift by up to 0.05% each: one of ours against another's. */
+export const DRIFT = 0.001;
+/** How long before the end of its lease a node stops, for what is on its way out. */
+const STOP_MARGIN_MS = 400;
+const RENEWALS_PER_LEASE = 6;
+
+/**
+ * This node's lease in the state service. All that it holds (membership, leadership, blocks) hangs on it. `valid`
+ * says whether the node may act: both its last renewal and its view of the records are young enough.
+ */
+export class Session {
+  #lease: number | undefined;
+  #renewedAt = -Infinity;
+
+  constructor(
+    private readonly node: string,
+    private readonly ttlMs: number,
+    private readonly store: StateStore,
+    private readonly cache: WatchCache,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  get lease(): number | undefined {
+    return this.#lease;
+  }
+
+  /** The steady time up to which this node may act. */
+  get validUntil(): number {
+    if (this.#lease === undefined) return -Infinity;
+    // The lease is counted from when the renewal was sent. A view that is older than the lease could miss a
+    // cancellation, so it bounds the node's right to act just the same.
+    const base = Math.min(this.#renewedAt, this.cache.freshAt);
+    return base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS;
+  }
+
+  get valid(): boolean {
+    return this.clock.now() < this.validUntil;
+  }
+
+  /** One step: get a lease, or renew it, or put this node's record right. To be run in a loop. */
+  async step(signal: AbortSignal): Promise<void> {
+    if (!this.cache.loaded) {
+      await this.clock.sleep(20, signal);
+      return;
+    }
+    if (this.#lease === undefined) await this.#open();
+    else await this.#renew();
+    const pause = this.ttlMs / RENEWALS_PER_LEASE;
+    await this.clock.sleep(pause, signal);
+  }
+
+  async #open(): Promise<void> {
+    const key = KEY.node(this.node);
+    const previous = read.node((await this.store.get(key))?.value);
+    if (previous) {
+      // This node ran before. Its process is dead, for we are its successor: what it held can go at once, and
+      // nobody has to wait for the end of its lease.
+      await this.store.revoke(previous.lease);
+      this.log.info({ lease: previous.lease }, 'ended the lease that this node had before');
+    }
+    const sentAt = this.clock.now();
+    const lease = await this.store.grant(this.ttlMs);
+    // Guarded, so that a late copy from an earlier life of this node can't replace the record.
+    const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: { lease }, lease }], true);
+    if (!result.ok) return;
+    this.#renewedAt = sentAt;
+    this.#lease = lease;
+    this.log.info({ lease, ttlMs: this.ttlMs }, 'this node has a lease');
+  }
+
+  async #renew(): Promise<void> {
+    const lease = this.#lease;
+    if (lease === undefined) return;
+    const sentAt = this.clock.now();
+    if (await this.store.extend(lease)) {
+      this.#renewedAt = sentAt;
+    } else {
+      this.#lease = undefined;
+      this.log.warn({ lease }, 'the lease of this node has ended');
+    }
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/watch-cache.ts
@@ -0,0 +1,114 @@
+import type { Clock } from '../base/clock';
+import type { Entry, Event, StateStore } from '../protocol/state';
+
+const HOLD_MS = 2500;
+const REMEMBERED_DELETES = 2000;
+
+/**
+ * A copy of all live records, kept by one watch. `freshAt` is the steady time at which the last answered watch was
+ * sent: everything that was written before it is in the copy.
+ */
+export class WatchCache {
+  readonly #entries = new Map<string, Entry>();
+  /** Deletions that a nudge told us of ahead of the watch; a nudge that comes later must not bring the key back. */
+  readonly #deletedAt = new Map<string, number>();
+  readonly #listeners: ((event: Event) => void)[] = [];
+  #revision = 0;
+  #loaded = false;
+  freshAt = -Infinity;
+
+  constructor(
+    private readonly store: StateStore,
+    private readonly prefix: string,
+    private readonly clock: Clock,
+  ) {}
+
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  onChange(listener: (event: Event) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  get(key: string): Entry | undefined {
+    return this.#entries.get(key);
+  }
+
+  version(key: string): number {
+    return this.#entries.get(key)?.version ?? 0;
+  }
+
+  *under(prefix: string): Generator<Entry> {
+    for (const entry of this.#entries.values()) if (entry.key.startsWith(prefix)) yield entry;
+  }
+
+  /** One step of the watch; to be run in a loop. */
+  async step(): Promise<void> {
+    if (!this.#loaded) {
+      await this.#load();
+      return;
+    }
+    const sentAt = this.clock.now();
+    const news = await this.store.changes(this.prefix, this.#revision, HOLD_MS);
+    if (!news) {
+      this.#loaded = false;
+      return;
+    }
+    for (const event of news.events) this.#apply(event);
+    this.#revision = Math.max(this.#revision, news.revision);
+    this.freshAt = sentAt;
+    if (this.#deletedAt.size > REMEMBERED_DELETES) this.#deletedAt.clear();
+  }
+
+  /** Takes a change that somebody told us of ahead of the watch. */
+  offer(event: Event): void {
+    // What the watch has passed already is either here or was changed again since.
+    if (!this.#loaded || event.version <= this.#revision) return;
+    this.#apply(event);
+  }
+
+  async #load(): Promise<void> {
+    const sentAt = this.clock.now();
+    const seen = new Set<string>();
+    let after: string | undefined;
+    let first = -1;
+    for (;;) {
+      const page = await this.store.list(this.prefix, after);
+      if (first < 0) first = page.revision;
+      for (const entry of page.entries) {
+        seen.add(entry.key);
+        this.#apply({ key: entry.key, version: entry.version, value: entry.value, deleted: false });
+      }
+      after = page.entries.at(-1)?.key;
+      if (!page.more || after === undefined) break;
+    }
+    for (const entry of [...this.#entries.values()]) {
+      if (!seen.has(entry.key) && entry.version <= first) {
+        this.#apply({ key: entry.key, version: first, deleted: true });
+      }
+    }
+    // Pages are of different moments: the watch goes on from the first and brings all of them to one.
+    this.#revision = first;
+    this.freshAt = sentAt;
+    this.#loaded = true;
+  }
+
+  #apply(event: Event): void {
+    const held = this.#entries.get(event.key);
+    if (held && held.version >= event.version) return;
+    if ((this.#deletedAt.get(event.key) ?? 0) >= event.version) return;
+    if (event.deleted) {
+      this.#deletedAt.set(event.key, event.version);
+      if (!held) return;
+      this.#entries.delete(event.key);
+    } else {
+      this.#entries.set(event.key, { key: event.key, value: event.value, version: event.version });
+    }
+    for (const listener of this.#listeners) listener(event);
+  }
+}
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,107 @@
+import { readFileSync } from 'node:fs';
+import { Command, InvalidArgumentError } from 'commander';
+import { readSettings, SettingsError } from '../base/settings';
+import { codec } from '../protocol/codec';
+import { HttpClient, NoAnswer } from '../transport/http-client';
+import { serve } from './serve';
+
+/** Exit codes: 1 a bad setting or argument, 2 the node said no, 3 no answer. */
+const BAD_INPUT = 1;
+const REFUSED = 2;
+const NO_ANSWER = 3;
+const ASK_TIMEOUT_MS = 5_000;
+const MAX_ANSWER_BYTES = 64 * 1024;
+
+function fail(message: string, code: number): void {
+  process.stderr.write(`ironstream: ${message}\n`);
+  process.exitCode = code;
+}
+
+function nodeAddress(value: string): string {
+  if (!/^[^:\s]+:[0-9]{1,5}$/.test(value)) throw new InvalidArgumentError('must be HOST:PORT');
+  return value;
+}
+
+async function ask(node: string, method: string, path: string, body?: unknown): Promise<void> {
+  const http = new HttpClient(codec, 1, MAX_ANSWER_BYTES);
+  try {
+    const answer = await http.call(node, method, path, body, ASK_TIMEOUT_MS);
+    if (answer.status === 200 || answer.status === 201) {
+      process.stdout.write(`${JSON.stringify(answer.body)}\n`);
+    } else {
+      const error = (answer.body as { error?: unknown } | null)?.error;
+      fail(`${node} answered ${answer.status}${error === undefined ? '' : `: ${String(error)}`}`, REFUSED);
+    }
+  } catch (error) {
+    if (!(error instanceof NoAnswer)) throw error;
+    fail(`no answer from ${node}: ${error.message}`, NO_ANSWER);
+  } finally {
+    http.close();
+  }
+}
+
+function readJson(file: string): unknown {
+  let text: string;
+  try {
+    text = readFileSync(file === '-' ? 0 : file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`${file}: cannot be read (${(error as NodeJS.ErrnoException).code ?? 'error'})`);
+  }
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new SettingsError(`${file}: not JSON`);
+  }
+}
+
+export function createProgram(): Command {
+  const program = new Command('ironstream')
+    .description('A cluster scheduler. With --config it runs a controller.')
+    .option('--config <file>', "the platform's settings file (TOML)")
+    .option('--options <file>', "the operators' own settings (TOML)")
+    .action(async (options: { config?: string; options?: string }) => {
+      if (options.config === undefined) throw new SettingsError('--config FILE is needed; see --help');
+      await serve(readSettings(options.config, options.options));
+    });
+  program
+    .command('check-config')
+    .description('read the settings, say what follows from them, and end')
+    .argument('<file>', "the platform's settings file")
+    .option('--options <file>', "the operators' own settings (TOML)")
+    .action((file: string, options: { options?: string }) => {
+      const settings = readSettings(file, options.options);
+      const { node, deployment } = settings.platform;
+      const summary = { node, teams: deployment.teams.length, blockLeaseMs: settings.blockLeaseMs };
+      process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
+    });
+  program
+    .command('submit')
+    .description('submit a job, described in JSON as the protocol has it')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<file>', 'the description, or - for standard input')
+    .action(async (node: string, file: string) => ask(node, 'POST', '/work', readJson(file)));
+  program
+    .command('status')
+    .description('tell how far a job is')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<job>', 'job id')
+    .action(async (node: string, job: string) => ask(node, 'GET', `/work/${encodeURIComponent(job)}`));
+  program
+    .command('withdraw')
+    .description('cancel a job')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<job>', 'job id')
+    .action(async (node: string, job: string) =>
+      ask(node, 'POST', `/work/${encodeURIComponent(job)}/withdraw`),
+    );
+  return program;
+}
+
+export async function main(argv: readonly string[]): Promise<void> {
+  try {
+    await createProgram().parseAsync(argv);
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    fail(error.message, BAD_INPUT);
+  }
+}
--- /dev/null
+++ b/src/coordination/cloud-view.ts
@@ -0,0 +1,42 @@
+import type { Clock } from '../base/clock';
+import { PREFIX } from '../bookkeeping/records';
+import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { Cloud } from '../protocol/cloud';
+import type { ListedMachine } from '../protocol/model';
+
+const POLL_MS = 6_000;
+const MEMORY_MS = 120_000;
+
+/** The cloud's list of machines. It lags and may go back, so it serves to find strays and failures, never an end. */
+export class CloudView {
+  #listed: ListedMachine[] = [];
+  /** Machines whose records were deleted: a list that lags still names them. */
+  readonly #gone = new Map<string, number>();
+
+  constructor(
+    private readonly cloud: Cloud,
+    private readonly clock: Clock,
+  ) {}
+
+  watch(cache: WatchCache): void {
+    cache.onChange((event) => {
+      if (!event.deleted || !event.key.startsWith(PREFIX.machine)) return;
+      this.#gone.set(event.key.slice(PREFIX.machine.length), this.clock.now());
+    });
+  }
+
+  machines(): readonly ListedMachine[] {
+    return this.#listed;
+  }
+
+  isGone(id: string): boolean {
+    return this.#gone.has(id);
+  }
+
+  async step(signal: AbortSignal, needed: () => boolean): Promise<void> {
+    if (needed()) this.#listed = await this.cloud.list();
+    const now = this.clock.now();
+    for (const [id, at] of this.#gone) if (now - at > MEMORY_MS) this.#gone.delete(id);
+    await this.clock.sleep(POLL_MS, signal);
+  }
+}
--- /dev/null
+++ b/src/coordination/dispatch-table.ts
@@ -0,0 +1,148 @@
+import { Bitmap } from '../bookkeeping/bitmap';
+import type { JobRecord } from '../bookkeeping/records';
+import type { Job } from '../protocol/model';
+
+const UNASSIGNED = 0;
+const ISSUED = 1;
+const DONE = 2;
+
+const FIRST_PAUSE_MS = 2_000;
+const LONGEST_PAUSE_MS = 60_000;
+/** A job that failed on so many machines, and succeeded on none, is taken to be at fault itself. */
+const MACHINES_TO_BLAME_JOB = 3;
+
+/**
+ * The Dispatch Table of one job: each task is unassigned, issued or done. It lives in memory and is rebuilt from the
+ * done bitmap and the workers' reports.
+ */
+export class DispatchTable {
+  readonly job: Job;
+  readonly submittedAt: number;
+  /** What the state service has acknowledged. */
+  readonly recorded: Bitmap;
+  /** Versions of the bitmap's chunks in the state service. */
+  readonly chunkVersions: number[];
+  /** Done by a worker's word, not yet recorded. */
+  readonly unrecorded = new Set<number>();
+  /** The attempt that each issued task is on. */
+  readonly issued = new Map<number, { machine: string; key: string }>();
+  readonly errorMachines = new Set<string>();
+  retryAt = 0;
+  #errorsInRow = 0;
+  #unassigned: number;
+  /** No task below this one is unassigned. */
+  #lowest = 0;
+  readonly #states: Uint8Array;
+
+  constructor(
+    record: JobRecord,
+    readonly version: number,
+  ) {
+    this.job = record.job;
+    this.submittedAt = record.submittedAt;
+    this.recorded = new Bitmap(this.job.tasks);
+    this.chunkVersions = new Array<number>(this.recorded.chunks).fill(0);
+    this.#states = new Uint8Array(this.job.tasks);
+    this.#unassigned = this.job.tasks;
+  }
+
+  get unassigned(): number {
+    return this.#unassigned;
+  }
+
+  get done(): number {
+    return this.recorded.count + this.unrecorded.size;
+  }
+
+  get remaining(): number {
+    return this.job.tasks - this.done;
+  }
+
+  isDone(task: number): boolean {
+    return this.#states[task] === DONE;
+  }
+
+  /** The first unassigned task, or -1. */
+  nextUnassigned(): number {
+    if (this.#unassigned === 0) return -1;
+    while (this.#states[this.#lowest] !== UNASSIGNED) this.#lowest += 1;
+    return this.#lowest;
+  }
+
+  issue(task: number, machine: string, key: string): void {
+    if (this.#states[task] !== UNASSIGNED) throw new Error(`task ${task} is not unassigned`);
+    this.#states[task] = ISSUED;
+    this.#unassigned -= 1;
+    this.issued.set(task, { machine, key });
+  }
+
+  /** The attempt is gone without a completion; its task may be issued again. */
+  lost(task: number, key: string): void {
+    if (this.issued.get(task)?.key !== key) return;
+    this.issued.delete(task);
+    if (this.#states[task] !== ISSUED) return;
+    this.#states[task] = UNASSIGNED;
+    this.#unassigned += 1;
+    this.#lowest = Math.min(this.#lowest, task);
+  }
+
+  /** The first completion counts. False: the task was done before, and this one is discarded. */
+  complete(task: number): boolean {
+    if (task >= this.job.tasks || this.#states[task] === DONE) return false;
+    this.#setDone(task);
+    this.unrecorded.add(task);
+    return true;
+  }
+
+  /** Takes in what the state service has recorded for a chunk. */
+  mergeRecorded(chunk: number, bits: string, version: number): void {
+    if (version <= (this.chunkVersions[chunk] ?? 0)) return;
+    this.chunkVersions[chunk] = version;
+    for (const task of this.recorded.mergeChunk(chunk, bits)) {
+      this.unrecorded.delete(task);
+      this.#setDone(task);
+    }
+  }
+
+  /** The state service has acknowledged these completions. */
+  confirm(tasks: readonly number[]): void {
+    for (const task of tasks) {
+      this.recorded.set(task);
+      this.unrecorded.delete(task);
+    }
+  }
+
+  /** A chunk of the bitmap with all completions known, recorded or not. */
+  encodeChunk(chunk: number): string {
+    const all = new Bitmap(this.job.tasks);
+    all.mergeChunk(chunk, this.recorded.encodeChunk(chunk));
+    for (const task of this.unrecorded) all.set(task);
+    return all.encodeChunk(chunk);
+  }
+
+  #setDone(task: number): void {
+    if (this.#states[task] === UNASSIGNED) this.#unassigned -= 1;
+    this.#states[task] = DONE;
+    this.issued.delete(task);
+  }
+
+  succeeded(): void {
+    this.#errorsInRow = 0;
+    this.errorMachines.clear();
+    this.retryAt = 0;
+  }
+
+  /** After failures on several machines the job is retried with growing pauses, until its user cancels it. */
+  failed(machine: string, now: number): void {
+    this.errorMachines.add(machine);
+    this.#errorsInRow += 1;
+    if (this.errorMachines.size < 2 || this.done > 0) return;
+    const pause = FIRST_PAUSE_MS * 2 ** Math.min(this.#errorsInRow - 2, 10);
+    this.retryAt = now + Math.min(LONGEST_PAUSE_MS, pause);
+  }
+
+  /** Whether failures of its tasks say nothing about the machines that they ran on. */
+  get suspect(): boolean {
+    return this.done === 0 && this.errorMachines.size >= MACHINES_TO_BLAME_JOB;
+  }
+}
--- /dev/null
+++ b/src/coordination/leader.ts
@@ -0,0 +1,113 @@
+import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
+import type { CloudView } from './cloud-view';
+import type { Deps } from './deps';
+
+const STRAY_AGE_S = 5;
+const STRAYS_AT_ONCE = 10;
+
+/** The leader leases blocks to live nodes, and takes machines that no record names into a block. It does no more. */
+export class Leader {
+  constructor(
+    private readonly deps: Deps,
+    private readonly cloud: CloudView,
+  ) {}
+
+  get isLeader(): boolean {
+    const { cache, node, session } = this.deps;
+    return session.valid && read.leader(cache.get(KEY.leader)?.value)?.node === node;
+  }
+
+  /** One step; to be run in a loop, and whenever membership changes. */
+  async step(): Promise<void> {
+    const { cache, store, session, node, log } = this.deps;
+    if (!cache.loaded || !session.valid || session.lease === undefined) return;
+    if (!cache.get(KEY.leader)) {
+      const result = await store.txn(
+        [{ key: KEY.leader, version: 0 }],
+        [{ put: KEY.leader, value: { node }, lease: session.lease }],
+        true,
+      );
+      if (result.ok) {
+        log.info({ node }, 'this node leads');
+        cache.offer({ key: KEY.leader, version: result.revision, value: { node }, deleted: false });
+      }
+    }
+    if (!this.isLeader) return;
+    await this.#assign();
+    await this.#takeStrays();
+  }
+
+  async #assign(): Promise<void> {
+    const { cache, store, settings, log } = this.deps;
+    const nodes = [...cache.under(PREFIX.node)]
+      .sort((a, b) => a.version - b.version)
+      .map((e) => e.key.slice(PREFIX.node.length));
+    if (nodes.length === 0) return;
+    const { blocks } = settings.operator;
+    const { teams } = settings.platform.deployment;
+    const load = new Map(nodes.map((n) => [n, 0]));
+    const orphans: number[] = [];
+    for (let block = 0; block < blocks; block += 1) {
+      const record = read.block(cache.get(KEY.block(block))?.value);
+      const held = record && load.get(record.owner);
+      if (record && held !== undefined) load.set(record.owner, held + 1);
+      else orphans.push(block);
+    }
+    for (const block of orphans) {
+      const [owner] = [...load].sort((a, b) => a[1] - b[1])[0] ?? [];
+      if (owner === undefined) return;
+      const value: BlockRecord = {
+        owner,
+        teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
+      };
+      const key = KEY.block(block);
+      const result = await store.txn(
+        [
+          { key, version: cache.version(key) },
+          { key: KEY.leader, version: cache.version(KEY.leader) },
+        ],
+        [{ put: key, value }],
+        true,
+      );
+      if (!result.ok) return;
+      load.set(owner, (load.get(owner) ?? 0) + 1);
+      log.info({ block, owner }, 'block assigned');
+      this.deps.announce({ key, version: result.revision, value, deleted: false });
+    }
+  }
+
+  /** A rental whose answer was lost, or that was carried out late, shows up here only. */
+  async #takeStrays(): Promise<void> {
+    const { cache, store, settings, log, clock } = this.deps;
+    const strays = this.cloud
+      .machines()
+      .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
+      .filter((m) => !this.cloud.isGone(m.id))
+      .slice(0, STRAYS_AT_ONCE);
+    if (strays.length === 0) return;
+    const machinesOf = new Map<number, number>();
+    for (let block = 0; block < settings.operator.blocks; block += 1) machinesOf.set(block, 0);
+    for (const entry of cache.under(PREFIX.machine)) {
+      const block = read.machine(entry.value)?.block ?? 0;
+      machinesOf.set(block, (machinesOf.get(block) ?? 0) + 1);
+    }
+    const [block] = [...machinesOf].sort((a, b) => a[1] - b[1])[0] ?? [0];
+    const changes = strays.map((m) => ({
+      put: KEY.machine(m.id),
+      value: {
+        ...{ block, address: '', type: m.type, zone: m.zone, spot: m.spot, up: false },
+        rentedAt: clock.date().getTime() - m.ageS * 1000,
+      },
+    }));
+    const guards = changes.map((c) => ({ key: c.put, version: 0 }));
+    const result = await store.txn(
+      [{ key: KEY.leader, version: cache.version(KEY.leader) }, ...guards],
+      changes,
+    );
+    if (!result.ok) return;
+    log.info({ block, machines: strays.map((m) => m.id) }, 'strays taken in');
+    for (const c of changes) {
+      this.deps.announce({ key: c.put, version: result.revision, value: c.value, deleted: false });
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/machine.ts
@@ -0,0 +1,214 @@
+import type { MachineRecord } from '../bookkeeping/records';
+import { attemptKey, type ExitCause, type MachineType, type Report, type Resources } from '../protocol/model';
+
+/** `sent`: a start has left, or is about to, and no message of the worker has shown the attempt yet. */
+export type Phase = 'sent' | 'fetching' | 'running' | 'saving' | 'exited';
+
+export interface Attempt {
+  readonly key: string;
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly needs: Resources;
+  readonly team: string;
+  readonly image: string;
+  phase: Phase;
+  cause: ExitCause | null;
+  saved: boolean;
+  sentAt: number;
+  runningSince: number | undefined;
+  /** A command that carries the start has been sent at least once. */
+  posted: boolean;
+  /** A command that carries the start is out and not answered yet. */
+  inFlight: boolean;
+  /** Wanted gone. */
+  stop: { graceS: number; since: number } | undefined;
+}
+
+export interface Change {
+  kind: 'found' | 'running' | 'exited' | 'gone';
+  attempt: Attempt;
+}
+
+/** Attempt numbers hold the token under which they were issued, so they never repeat, also after a takeover. */
+const ATTEMPTS_PER_TOKEN = 2 ** 20;
+
+export function attemptNumber(token: number, counter: number): number {
+  return token * ATTEMPTS_PER_TOKEN + (counter % ATTEMPTS_PER_TOKEN);
+}
+
+export function issueToken(attempt: number): number {
+  return Math.floor(attempt / ATTEMPTS_PER_TOKEN);
+}
+
+export function holdsRoom(attempt: Attempt): boolean {
+  return attempt.phase !== 'exited';
+}
+
+/** One machine as its block's owner knows it: what is on it, or may be. */
+export class Machine {
+  readonly attempts = new Map<string, Attempt>();
+  session = 0;
+  sequence = -1;
+  tokenSeen = 0;
+  /** Steady time of the last report that was newer than what we knew. */
+  heardAt: number | undefined;
+  /** No 200 can have reached the worker for a report sent after this time. */
+  answeredAt: number;
+  /** A message showed our token: nothing that an earlier owner sent can still start here. */
+  settled = false;
+  noticeUntil: number | undefined;
+  commandOut = false;
+  up: boolean;
+  idleSince: number;
+  /** Images that it should hold, by last use; bounded by the type's cache. */
+  readonly images = new Map<string, number>();
+  /** Jobs whose tasks failed here since the last success. */
+  readonly errorJobs = new Set<string>();
+  errorsInRow = 0;
+  sick = false;
+  /** Not to be used any more; released as soon as it may be. */
+  leaving: string | undefined;
+  releasing = false;
+  /** No starts before this time, after a start that was refused or could not be delivered. */
+  avoidUntil = 0;
+
+  constructor(
+    readonly id: string,
+    readonly record: MachineRecord,
+    readonly type: MachineType,
+    /** When the previous owner can last have answered it. */
+    takenAt: number,
+    readonly knownSince: number,
+  ) {
+    this.answeredAt = takenAt;
+    this.up = record.up;
+    this.idleSince = takenAt;
+    // A machine that was never answered and never sent an order can't hold a task.
+    this.settled = !record.up;
+  }
+
+  free(): Resources {
+    const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
+    for (const attempt of this.attempts.values()) {
+      if (!holdsRoom(attempt)) continue;
+      free.cpus -= attempt.needs.cpus;
+      free.gpus -= attempt.needs.gpus;
+      free.memoryGb -= attempt.needs.memoryGb;
+    }
+    return free;
+  }
+
+  get busy(): boolean {
+    for (const attempt of this.attempts.values()) if (holdsRoom(attempt)) return true;
+    return false;
+  }
+
+  /** Whether this message is newer than all that we know of the worker. */
+  isNews(report: Report): boolean {
+    return (
+      report.session > this.session || (report.session === this.session && report.sequence > this.sequence)
+    );
+  }
+
+  /**
+   * Takes over what a message of the worker says. `describe` gives the needs of an attempt that we did not issue.
+   * Messages come late and out of order: an old one must change nothing.
+   */
+  absorb(
+    report: Report,
+    now: number,
+    describe: (job: string) => { needs: Resources; team: string; image: string },
+  ): Change[] {
+    if (!this.isNews(report)) return [];
+    const changes: Change[] = [];
+    if (report.session > this.session) {
+      // A later session proves that everything of the earlier ones is gone, late commands for them included.
+      changes.push(...this.dropAll());
+      this.session = report.session;
+      this.images.clear();
+    }
+    this.sequence = report.sequence;
+    this.tokenSeen = Math.max(this.tokenSeen, report.token);
+    this.heardAt = now;
+    if (report.noticeS !== null) {
+      const until = now + report.noticeS * 1000;
+      this.noticeUntil = Math.min(this.noticeUntil ?? Infinity, until);
+    } else {
+      this.noticeUntil = undefined;
+    }
+    const reported = new Set<string>();
+    for (const r of report.attempts) {
+      const key = attemptKey(r.job, r.task, r.attempt);
+      reported.add(key);
+      let attempt = this.attempts.get(key);
+      if (!attempt) {
+        const { job, task } = r;
+        attempt = {
+          ...{
+            key,
+            job,
+            task,
+            attempt: r.attempt,
+            ...describe(job),
+            phase: 'sent',
+            cause: null,
+            saved: false,
+          },
+          ...{ sentAt: now, runningSince: undefined, posted: true, inFlight: false },
+          stop: undefined,
+        };
+        this.attempts.set(key, attempt);
+        changes.push({ kind: 'found', attempt });
+      }
+      if (r.phase === attempt.phase) continue;
+      attempt.phase = r.phase;
+      attempt.cause = r.cause;
+      attempt.saved = r.saved;
+      if (r.phase === 'running' || r.phase === 'saving') {
+        attempt.runningSince ??= now;
+        this.images.set(attempt.image, now);
+        if (r.phase === 'running') changes.push({ kind: 'running', attempt });
+      } else if (r.phase === 'exited') {
+        changes.push({ kind: 'exited', attempt });
+      }
+    }
+    for (const attempt of [...this.attempts.values()]) {
+      if (reported.has(attempt.key) || this.mayStillStart(attempt)) continue;
+      changes.push(this.#drop(attempt));
+    }
+    return changes;
+  }
+
+  /**
+   * A start that was never answered may be carried out minutes later, while the worker's token and session still
+   * match; so its absence from a report proves nothing before the worker has seen a higher token.
+   */
+  mayStillStart(attempt: Attempt): boolean {
+    return attempt.inFlight || (attempt.phase === 'sent' && this.tokenSeen <= issueToken(attempt.attempt));
+  }
+
+  /**
+   * After `forget` a late or repeated copy of the start would start the attempt anew: it must not be sent before the
+   * worker refuses the token of that start.
+   */
+  mayForget(attempt: Attempt): boolean {
+    return attempt.phase === 'exited' && !attempt.inFlight && this.tokenSeen > issueToken(attempt.attempt);
+  }
+
+  /** The start certainly never happened (refused, or never sent). */
+  neverStarted(key: string): Change | undefined {
+    const attempt = this.attempts.get(key);
+    if (attempt?.phase !== 'sent') return undefined;
+    return this.#drop(attempt);
+  }
+
+  dropAll(): Change[] {
+    return [...this.attempts.values()].map((attempt) => this.#drop(attempt));
+  }
+
+  #drop(attempt: Attempt): Change {
+    this.attempts.delete(attempt.key);
+    return { kind: 'gone', attempt };
+  }
+}
--- /dev/null
+++ b/src/coordination/node.ts
@@ -0,0 +1,290 @@
+import { Wake, type Clock } from '../base/clock';
+import type { Log } from '../base/log';
+import { runLoop } from '../base/loop';
+import type { Random } from '../base/random';
+import type { Settings } from '../base/settings';
+import { JobStore } from '../bookkeeping/job-store';
+import { KEY, LIVE, PREFIX, read } from '../bookkeeping/records';
+import { Session } from '../bookkeeping/session';
+import { WatchCache } from '../bookkeeping/watch-cache';
+import { Cloud } from '../protocol/cloud';
+import type { JobStatus, MachineType, Order, Report } from '../protocol/model';
+import { readPeerMessage, writePeerMessage, type JobProgress, type PeerMessage } from '../protocol/peers';
+import { HttpStateStore, type Event, type StateStore } from '../protocol/state';
+import type { HttpCaller } from '../transport/http-client';
+import { RateLimit } from '../transport/rate-limit';
+import { BlockOwner } from './block-owner';
+import { CloudView } from './cloud-view';
+import type { Deps } from './deps';
+import { Leader } from './leader';
+
+export interface Outside {
+  clock: Clock;
+  random: Random;
+  log: Log;
+  http: HttpCaller;
+  /** Sends to all other nodes; best effort. */
+  broadcast(bytes: Uint8Array): void;
+}
+
+const STATE_TIMEOUT_MS = 1_500;
+const CLOUD_TIMEOUT_MS = 5_000;
+/** This node's part of the limits that all nodes share: one may take more than a third, for others take less. */
+const RATE_PART = 0.6;
+const CLOUD_RATE_PART = 0.7;
+const LEADER_PAUSE_MS = 1_000;
+const OWNER_PAUSE_MS = 500;
+const PROGRESS_MS = 1_000;
+const TYPES_REFRESH_MS = 60_000;
+const FRESH_FOR_MS = 6_000;
+const PEER_MEMORY_MS = 3_500;
+const MAX_PROGRESS = 2_000;
+
+export type ReportAnswer =
+  | { kind: 'accepted'; token: number; orders: Order[] }
+  | { kind: 'elsewhere'; owner: string | undefined }
+  | { kind: 'undecided' };
+
+/** One controller: its copy of the records, its lease, and the blocks that it owns. */
+export class Node {
+  readonly jobs: JobStore;
+  readonly #deps: Deps;
+  readonly #cache: WatchCache;
+  readonly #session: Session;
+  readonly #leader: Leader;
+  readonly #cloudView: CloudView;
+  readonly #owners = new Map<number, BlockOwner>();
+  readonly #progress = new Map<string, JobProgress>();
+  readonly #leaderWake: Wake;
+  readonly #ownerWake: Wake;
+  readonly #stop = new AbortController();
+  #types: readonly MachineType[] = [];
+  #peersFreshAt = -Infinity;
+
+  constructor(
+    readonly settings: Settings,
+    private readonly outside: Outside,
+    store?: StateStore,
+  ) {
+    const { clock, log, http, random } = outside;
+    const { platform } = settings;
+    const { state, cloud } = platform.deployment;
+    const stateStore =
+      store ??
+      new HttpStateStore(
+        http,
+        platform.external.state,
+        new RateLimit(clock, state.rps * RATE_PART, state.rps * RATE_PART),
+        new RateLimit(clock, state.write_rps * RATE_PART, state.write_rps * RATE_PART),
+        STATE_TIMEOUT_MS,
+      );
+    const cloudRate = new RateLimit(clock, cloud.rps * CLOUD_RATE_PART, 2);
+    const cloudApi = new Cloud(http, platform.external.cloud, cloudRate, CLOUD_TIMEOUT_MS);
+    this.#cache = new WatchCache(stateStore, LIVE, clock);
+    this.#session = new Session(platform.node, settings.blockLeaseMs, stateStore, this.#cache, clock, log);
+    const announce = (event: Event): void => {
+      this.#cache.offer(event);
+      outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
+    };
+    this.jobs = new JobStore(stateStore, clock, announce);
+    this.#deps = {
+      ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
+      ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers: http, announce },
+      types: () => this.#types,
+    };
+    this.#cloudView = new CloudView(cloudApi, clock);
+    this.#leader = new Leader(this.#deps, this.#cloudView);
+    this.#leaderWake = new Wake(clock);
+    this.#ownerWake = new Wake(clock);
+    this.#cloudView.watch(this.#cache);
+    this.#cache.onChange((event) => {
+      this.#onChange(event);
+    });
+  }
+
+  start(): void {
+    const { clock, log } = this.outside;
+    const { signal } = this.#stop;
+    const loop = (name: string, step: () => Promise<void>, pauseMs?: number): void => {
+      void runLoop(name, step, { clock, log, signal }, pauseMs);
+    };
+    loop('watch', () => this.#cache.step(), 300);
+    loop('session', () => this.#session.step(signal), 300);
+    loop('leader', async () => {
+      await this.#leaderWake.wait(LEADER_PAUSE_MS);
+      await this.#leader.step();
+    });
+    loop('blocks', async () => {
+      await this.#ownerWake.wait(OWNER_PAUSE_MS);
+      await this.#own();
+    });
+    loop('machine types', () => this.#refreshTypes(signal), 2_000);
+    loop('cloud list', () => this.#listCloud(signal), 3_000);
+    loop('progress', async () => {
+      await clock.sleep(PROGRESS_MS, signal);
+      this.#shareProgress();
+    });
+  }
+
+  stop(): void {
+    this.#stop.abort();
+    for (const owner of this.#owners.values()) owner.stop('the node stops');
+  }
+
+  get types(): readonly MachineType[] {
+    return this.#types;
+  }
+
+  get owners(): ReadonlyMap<number, BlockOwner> {
+    return this.#owners;
+  }
+
+  get #fresh(): boolean {
+    return this.outside.clock.now() - this.#cache.freshAt < FRESH_FOR_MS;
+  }
+
+  /**
+   * Whether users are well served here. A node that alone lost the state service sends them elsewhere; when all have
+   * lost it, going elsewhere would not help.
+   */
+  get ready(): boolean {
+    if (!this.#cache.loaded || this.#types.length === 0) return false;
+    return this.#fresh || this.outside.clock.now() - this.#peersFreshAt > PEER_MEMORY_MS;
+  }
+
+  /** Adds what is known of a live job's progress, for display. */
+  withProgress(status: JobStatus): JobStatus {
+    const progress = this.#progress.get(status.id);
+    if (!progress || status.state === 'done' || status.state === 'cancelled') return status;
+    const state = progress.running > 0 ? 'running' : 'queued';
+    return { id: status.id, state, done: progress.done, running: progress.running };
+  }
+
+  doneSoFar(id: string): number {
+    return this.#progress.get(id)?.done ?? 0;
+  }
+
+  async report(report: Report): Promise<ReportAnswer> {
+    if (!this.#cache.loaded) return { kind: 'undecided' };
+    const record = read.machine(this.#cache.get(KEY.machine(report.machine))?.value);
+    // The leader takes it in when the cloud lists it; until then nobody answers for it.
+    if (!record) return { kind: 'undecided' };
+    const owner = this.#owners.get(record.block);
+    if (owner && !owner.stopped) {
+      const answer = await owner.report(report);
+      return answer ? { kind: 'accepted', ...answer } : { kind: 'undecided' };
+    }
+    const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
+    if (lease && lease.owner !== this.#deps.node) return { kind: 'elsewhere', owner: lease.owner };
+    return { kind: 'undecided' };
+  }
+
+  onPeerFrame(bytes: Uint8Array): void {
+    const message = readPeerMessage(bytes);
+    if (!message) {
+      this.outside.log.info('a message of a peer could not be read');
+      return;
+    }
+    this.#onPeer(message);
+  }
+
+  #onPeer(message: PeerMessage): void {
+    if (message.kind === 'nudge') {
+      this.#cache.offer(message.event);
+      return;
+    }
+    if (message.fresh) this.#peersFreshAt = this.outside.clock.now();
+    this.#takeProgress(message.jobs);
+  }
+
+  #takeProgress(jobs: readonly JobProgress[]): void {
+    for (const job of jobs) if (this.#cache.get(KEY.job(job.id))) this.#progress.set(job.id, job);
+  }
+
+  #onChange(event: Event): void {
+    for (const owner of this.#owners.values()) owner.onChange(event);
+    const { key } = event;
+    if (key.startsWith(PREFIX.job)) {
+      if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
+    } else if (!key.startsWith(PREFIX.done) && !key.startsWith(PREFIX.machine)) {
+      if (key === KEY.types) this.#types = read.types(event.value)?.types ?? this.#types;
+      this.#leaderWake.wake();
+      this.#ownerWake.wake();
+    }
+  }
+
+  /** Takes the leases of the blocks that the leader assigned to this node. */
+  async #own(): Promise<void> {
+    const { node, cache, session, store, settings, log } = this.#deps;
+    for (const [block, owner] of this.#owners) {
+      const lease = read.lease(cache.get(KEY.lease(block))?.value);
+      if (session.lease === undefined || lease?.owner !== node) owner.stop('its lease is not held here');
+      if (owner.stopped) this.#owners.delete(block);
+    }
+    if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
+    for (let block = 0; block < settings.operator.blocks; block += 1) {
+      const record = read.block(cache.get(KEY.block(block))?.value);
+      if (record?.owner !== node || cache.get(KEY.lease(block)) || this.#owners.has(block)) continue;
+      const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
+      const value = { owner: node, token: next };
+      const result = await store.txn(
+        [
+          { key: KEY.lease(block), version: 0 },
+          { key: KEY.block(block), version: cache.version(KEY.block(block)) },
+          { key: KEY.baton, version: cache.version(KEY.baton) },
+        ],
+        [
+          { put: KEY.baton, value: { next } },
+          { put: KEY.lease(block), value, lease: session.lease },
+        ],
+        true,
+      );
+      if (!result.ok) continue;
+      // The tables are built from a view that holds everything the owner before us could have acted on.
+      while (cache.revision < result.revision && session.valid) await this.outside.clock.sleep(5);
+      if (!session.valid || read.lease(cache.get(KEY.lease(block))?.value)?.owner !== node) {
+        log.warn({ block }, 'a block was lost before it was taken');
+        return;
+      }
+      const owner = new BlockOwner(block, record.teams, next, result.revision, result.revision, this.#deps);
+      this.#owners.set(block, owner);
+      owner.start();
+    }
+  }
+
+  async #refreshTypes(signal: AbortSignal): Promise<void> {
+    const { cache, store, clock, cloud } = this.#deps;
+    if (!cache.loaded) {
+      await clock.sleep(20, signal);
+      return;
+    }
+    // One node asks for all: what it learns is a record that also serves a node that starts while the cloud is down.
+    if (this.#types.length === 0 || this.#leader.isLeader) {
+      const types = await cloud.types();
+      this.#types = types;
+      const known = cache.get(KEY.types);
+      if (types.length > 0 && JSON.stringify(known?.value) !== JSON.stringify({ types })) {
+        await store.txn(
+          [{ key: KEY.types, version: known?.version ?? 0 }],
+          [{ put: KEY.types, value: { types } }],
+        );
+      }
+      this.#ownerWake.wake();
+    }
+    await clock.sleep(TYPES_REFRESH_MS, signal);
+  }
+
+  async #listCloud(signal: AbortSignal): Promise<void> {
+    await this.#cloudView.step(signal, () => this.#leader.isLeader || this.#owners.size > 0);
+    for (const m of this.#cloudView.machines()) {
+      if (m.state === 'failed') for (const owner of this.#owners.values()) owner.machineFailed(m.id);
+    }
+  }
+
+  #shareProgress(): void {
+    const jobs = [...this.#owners.values()].flatMap((owner) => (owner.entitled ? owner.progress() : []));
+    this.#takeProgress(jobs);
+    const message: PeerMessage = { kind: 'progress', fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) };
+    this.outside.broadcast(writePeerMessage(message));
+  }
+}
--- /dev/null
+++ b/src/coordination/placement.ts
@@ -0,0 +1,172 @@
+import { PRIORITY_RANK, type Job, type MachineType, type Resources } from '../protocol/model';
+
+/** A job with work waiting, as a round sees it. */
+export interface WaitingJob {
+  readonly job: Job;
+  readonly waiting: number;
+  /** How many of its tasks are, or may be, in each zone. */
+  readonly zones: ReadonlyMap<string, number>;
+  /** Steady time by which it should start to be in time. */
+  readonly latestStart: number;
+  readonly avoid: ReadonlySet<string>;
+}
+
+export interface RoomyMachine {
+  readonly id: string;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly free: Resources;
+  readonly images: ReadonlyMap<string, number>;
+  readonly busy: boolean;
+}
+
+export interface TeamUse {
+  readonly cpus: number;
+  readonly gpus: number;
+}
+
+export interface TeamLimits {
+  readonly cpus: number;
+  readonly cpus_max: number;
+  readonly gpus: number;
+  readonly gpus_max: number;
+}
+
+export interface Placement {
+  job: string;
+  machine: string;
+}
+
+const EPSILON = 1e-6;
+
+export function fits(needs: Resources, free: Resources): boolean {
+  return (
+    needs.cpus <= free.cpus + EPSILON &&
+    needs.gpus <= free.gpus + EPSILON &&
+    needs.memoryGb <= free.memoryGb + EPSILON
+  );
+}
+
+export function mayUse(job: Job, machine: { type: MachineType; zone: string; spot: boolean }): boolean {
+  return (
+    (job.spot || !machine.spot) &&
+    (job.zone === null || job.zone === machine.zone) &&
+    (job.types === null || job.types.includes(machine.type.name))
+  );
+}
+
+/** Whether one more task may go to a zone, given where the job's others are. */
+export function zoneAllows(job: Job, zones: ReadonlyMap<string, number>, zone: string): boolean {
+  if (job.oneZone) for (const [other, count] of zones) if (count > 0 && other !== zone) return false;
+  return !job.spread || (zones.get(zone) ?? 0) < Math.ceil(job.tasks / 2);
+}
+
+export function withinLimit(job: Job, use: TeamUse, limits: TeamLimits): boolean {
+  return (
+    (limits.cpus_max === 0 || use.cpus + job.cpus <= limits.cpus_max + EPSILON) &&
+    (limits.gpus_max === 0 || use.gpus + job.gpus <= limits.gpus_max + EPSILON)
+  );
+}
+
+function withinGuarantee(job: Job, use: TeamUse, limits: TeamLimits): boolean {
+  return (
+    use.cpus + job.cpus <= limits.cpus + EPSILON &&
+    (job.gpus === 0 || use.gpus + job.gpus <= limits.gpus + EPSILON)
+  );
+}
+
+/** Waiting jobs in the order in which they get room: priority, guarantee shortfall, then the least slack. */
+export function order(
+  jobs: readonly WaitingJob[],
+  teams: ReadonlyMap<string, TeamLimits>,
+  use: ReadonlyMap<string, TeamUse>,
+): WaitingJob[] {
+  const none = { cpus: 0, gpus: 0 };
+  const owed = (w: WaitingJob): number => {
+    const limits = teams.get(w.job.team);
+    return limits && withinGuarantee(w.job, use.get(w.job.team) ?? none, limits) ? 0 : 1;
+  };
+  return jobs
+    .map((w) => ({ w, rank: PRIORITY_RANK[w.job.priority], owed: owed(w) }))
+    .sort((a, b) => a.rank - b.rank || a.owed - b.owed || a.w.latestStart - b.w.latestStart)
+    .map(({ w }) => w);
+}
+
+/** How well a task suits a machine that has room for it: an image at hand, then little room left over. */
+function score(job: Job, m: RoomyMachine, free: Resources): number {
+  const cached = m.images.has(job.image) ? 4 : 0;
+  const cpuLeft = (free.cpus - job.cpus) / m.type.cpus;
+  const memoryLeft = (free.memoryGb - job.memoryGb) / m.type.memoryGb;
+  // Spot machines are cheap: filling them lets the others go.
+  return cached + (m.spot ? 1.5 : 0) + (m.busy ? 1 : 0) - cpuLeft - 0.5 * Math.abs(cpuLeft - memoryLeft);
+}
+
+export interface PlacementInput {
+  /** In the order in which they get room. */
+  readonly jobs: readonly WaitingJob[];
+  readonly machines: readonly RoomyMachine[];
+  readonly teams: ReadonlyMap<string, TeamLimits>;
+  readonly use: ReadonlyMap<string, TeamUse>;
+  /** The job to begin with: where the last round stopped. */
+  readonly from: number;
+}
+
+export interface PlacementResult {
+  placements: Placement[];
+  /** What found no room, by job. */
+  unplaced: Map<string, number>;
+  /** Where to go on, when the time ran out; undefined when all jobs were looked at. */
+  cursor: number | undefined;
+}
+
+/** Finds room for waiting tasks, until all jobs were looked at or the round's time is up. */
+export function place(input: PlacementInput, timeIsUp: () => boolean): PlacementResult {
+  const free = new Map(input.machines.map((m) => [m.id, { ...m.free }]));
+  const use = new Map([...input.use].map(([team, u]) => [team, { ...u }]));
+  const placements: Placement[] = [];
+  const unplaced = new Map<string, number>();
+  for (let index = input.from; index < input.jobs.length; index += 1) {
+    const waiting = input.jobs[index];
+    if (!waiting) break;
+    if (index > input.from && timeIsUp()) return { placements, unplaced, cursor: index };
+    const { job } = waiting;
+    const limits = input.teams.get(job.team);
+    if (!limits) continue;
+    const team = use.get(job.team) ?? { cpus: 0, gpus: 0 };
+    use.set(job.team, team);
+    const zones = new Map(waiting.zones);
+    const candidates = input.machines.filter((m) => mayUse(job, m) && !waiting.avoid.has(m.id));
+    let left = waiting.waiting;
+    while (left > 0 && withinLimit(job, team, limits)) {
+      let best: RoomyMachine | undefined;
+      let bestScore = -Infinity;
+      for (const m of candidates) {
+        const room = free.get(m.id);
+        if (!room || !fits(job, room) || !zoneAllows(job, zones, m.zone)) continue;
+        const s = score(job, m, room);
+        if (s > bestScore) {
+          best = m;
+          bestScore = s;
+        }
+      }
+      const room = best && free.get(best.id);
+      if (!best || !room) break;
+      room.cpus -= job.cpus;
+      room.gpus -= job.gpus;
+      room.memoryGb -= job.memoryGb;
+      team.cpus += job.cpus;
+      team.gpus += job.gpus;
+      zones.set(best.zone, (zones.get(best.zone) ?? 0) + 1);
+      placements.push({ job: job.id, machine: best.id });
+      left -= 1;
+    }
+    // Only work that its team's limit lets run counts as lacking room.
+    if (left > 0 && withinLimit(job, team, limits)) {
+      const byLimit =
+        limits.cpus_max === 0 ? left : Math.floor((limits.cpus_max - team.cpus + EPSILON) / job.cpus);
+      unplaced.set(job.id, Math.min(left, byLimit));
+    }
+  }
+  return { placements, unplaced, cursor: undefined };
+}
--- /dev/null
+++ b/src/coordination/routes.ts
@@ -0,0 +1,102 @@
+import { describe } from '../base/loop';
+import type { Log } from '../base/log';
+import type { Job, MachineType } from '../protocol/model';
+import { JOB_ID, readSubmission, typeAllows, writeStanding, writeStatus } from '../protocol/users';
+import { readReport, writeRedirect, writeReportAnswer } from '../protocol/workers';
+import type { HttpReply, Route } from '../transport/http-server';
+import type { Node } from './node';
+
+const RETRY_AFTER_S = 1;
+
+/** What can never run, and why; undefined when the job can. */
+export function whyNever(
+  job: Job,
+  types: readonly MachineType[],
+  teams: readonly { name: string; cpus_max: number; gpus_max: number }[],
+): string | undefined {
+  const team = teams.find((t) => t.name === job.team);
+  if (!team) return 'unknown team';
+  if (!types.some((type) => typeAllows(job, type))) return 'a task fits no allowed machine type';
+  if (team.cpus_max > 0 && job.cpus > team.cpus_max) return "a task needs more CPUs than the team's limit";
+  if (team.gpus_max > 0 && job.gpus > team.gpus_max) return "a task needs more GPUs than the team's limit";
+  return undefined;
+}
+
+/** The interface for users and workers. Each request that can't be decided now is answered at once with 503. */
+export function createRoutes(node: Node, log: Log): Route[] {
+  const { teams } = node.settings.platform.deployment;
+  const undecided = (error?: unknown): HttpReply => {
+    if (error !== undefined) log.debug({ err: describe(error) }, 'a request could not be decided');
+    return { status: 503, body: { error: 'not now' }, retryAfterS: RETRY_AFTER_S };
+  };
+  const guarded = (handle: Route['handle']): Route['handle'] => {
+    return async (request) => {
+      try {
+        return await handle(request);
+      } catch (error) {
+        return undecided(error);
+      }
+    };
+  };
+  return [
+    {
+      method: 'GET',
+      url: '/up',
+      handle: () => ({ status: node.ready ? 200 : 503, body: { ready: node.ready } }),
+    },
+    {
+      method: 'POST',
+      url: '/work',
+      handle: guarded(async ({ body }) => {
+        const job = readSubmission(body);
+        if (typeof job === 'string') return { status: 400, body: { error: job } };
+        if (node.types.length === 0) return undecided();
+        const never = whyNever(job, node.types, teams);
+        if (never !== undefined) {
+          // An accepted job stays accepted, whatever the machine types say today.
+          const known = await node.jobs.find(job.id);
+          return known ? { status: 200, body: writeStatus(known) } : { status: 422, body: { error: never } };
+        }
+        const { isNew, status } = await node.jobs.accept(job);
+        if (!isNew) return { status: 200, body: writeStatus(node.withProgress(status)) };
+        log.info({ job: job.id, jobClass: job.jobClass, team: job.team, tasks: job.tasks }, 'job accepted');
+        return { status: 201, body: writeStanding(job.id, 'queued') };
+      }),
+    },
+    {
+      method: 'GET',
+      url: '/work/:id',
+      handle: guarded(async ({ params }) => {
+        const id = params.id ?? '';
+        const status = JOB_ID.test(id) ? await node.jobs.find(id) : undefined;
+        if (!status) return { status: 404, body: { error: 'no such job' } };
+        return { status: 200, body: writeStatus(node.withProgress(status)) };
+      }),
+    },
+    {
+      method: 'POST',
+      url: '/work/:id/withdraw',
+      handle: guarded(async ({ params }) => {
+        const id = params.id ?? '';
+        const status = JOB_ID.test(id) ? await node.jobs.cancel(id, node.doneSoFar(id)) : undefined;
+        if (!status) return { status: 404, body: { error: 'no such job' } };
+        if (status.state === 'cancelled') log.info({ job: id }, 'job cancelled');
+        return { status: 200, body: writeStanding(id, status.state) };
+      }),
+    },
+    {
+      method: 'POST',
+      url: '/hello',
+      handle: guarded(async ({ body }) => {
+        const report = readReport(body);
+        if (!report) return { status: 400, body: { error: 'not a report' } };
+        const answer = await node.report(report);
+        if (answer.kind === 'accepted') {
+          return { status: 200, body: writeReportAnswer(answer.token, answer.orders) };
+        }
+        if (answer.kind === 'elsewhere') return { status: 421, body: writeRedirect(answer.owner) };
+        return { status: 503, body: { error: 'not now' } };
+      }),
+    },
+  ];
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,3 @@
+import { main } from './cli/program';
+
+void main(process.argv);
--- /dev/null
+++ b/src/protocol/codec.ts
@@ -0,0 +1,23 @@
+import { Decoder, Encoder } from '@msgpack/msgpack';
+import type { Codec } from '../transport/http-client';
+
+const encoder = new Encoder({ ignoreUndefined: true });
+const decoder = new Decoder({ maxBinLength: 0, maxExtLength: 0 });
+
+/** MessagePack as the interfaces use it: no binary, no extensions. */
+export const codec: Codec = {
+  encode: (value) => encoder.encode(value),
+  decode: (bytes) => decoder.decode(bytes),
+};
+
+/** Decodes a body that must be a map; undefined when it is not. */
+export function decodeMap(bytes: Uint8Array): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = decoder.decode(bytes);
+    return typeof value === 'object' && value !== null && !Array.isArray(value)
+      ? (value as Record<string, unknown>)
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/protocol/proto.d.ts
@@ -0,0 +1,4 @@
+declare module '*.proto' {
+  const text: string;
+  export default text;
+}
--- /dev/null
+++ b/src/protocol/state.ts
@@ -0,0 +1,179 @@
+import { z } from 'zod';
+import { NoAnswer, type HttpCaller } from '../transport/http-client';
+import type { RateLimit } from '../transport/rate-limit';
+
+export interface Entry {
+  key: string;
+  value: unknown;
+  /** The revision of the key's last change. */
+  version: number;
+}
+
+export interface Guard {
+  key: string;
+  /** 0: the key must not exist. */
+  version: number;
+}
+
+export type Change = { put: string; value: unknown; lease?: number } | { delete: string };
+
+export type TxnResult = { ok: true; revision: number } | { ok: false; failed: string[]; revision: number };
+
+export type Event = { key: string; version: number; value?: unknown; deleted: boolean };
+
+/** The state service, or our own limit, said no: nothing was executed. */
+export class StateRefused extends Error {
+  override name = 'StateRefused';
+}
+
+/** The lease that a change was to hang on has ended. */
+export class LeaseGone extends Error {
+  override name = 'LeaseGone';
+}
+
+export interface StateStore {
+  get(key: string): Promise<Entry | null>;
+  list(prefix: string, after?: string): Promise<{ entries: Entry[]; more: boolean; revision: number }>;
+  txn(guards: Guard[], changes: Change[], urgent?: boolean): Promise<TxnResult>;
+  grant(ttlMs: number): Promise<number>;
+  /** False when the lease has ended. */
+  extend(lease: number): Promise<boolean>;
+  revoke(lease: number): Promise<void>;
+  /** All changes since a revision, or undefined when it is too old to tell. */
+  changes(
+    prefix: string,
+    since: number,
+    waitMs: number,
+  ): Promise<{ revision: number; events: Event[] } | undefined>;
+}
+
+const revision = z.int().min(0);
+const entrySchema = z.object({ path: z.string(), data: z.unknown(), stamp: revision });
+const listSchema = z.object({ entries: z.array(entrySchema), hasNext: z.boolean(), ledger: revision });
+const txnOk = z.object({ ledger: revision });
+const txnFailed = z.object({ failed: z.array(z.string()), ledger: revision });
+const grantSchema = z.object({ hold: z.int() });
+const changesSchema = z.object({
+  ledger: revision,
+  news: z.array(
+    z.union([
+      z.object({ set: z.string(), data: z.unknown(), stamp: revision }),
+      z.object({ delete: z.string(), stamp: revision }),
+    ]),
+  ),
+});
+
+const PAGE = 500;
+
+/**
+ * The state service over HTTP. Requests and changes each stay inside this node's part of the limits;
+ * what is urgent (lease renewals, cancellations) goes ahead of the rest.
+ */
+export class HttpStateStore implements StateStore {
+  constructor(
+    private readonly http: HttpCaller,
+    private readonly address: string,
+    private readonly requests: RateLimit,
+    private readonly writes: RateLimit,
+    private readonly timeoutMs: number,
+  ) {}
+
+  async get(key: string): Promise<Entry | null> {
+    await this.requests.take();
+    const answer = await this.#call('GET', `/store/${key}`, undefined);
+    if (answer.status === 404) return null;
+    const entry = this.#parse(answer, entrySchema);
+    return { key: entry.path, value: entry.data, version: entry.stamp };
+  }
+
+  async list(prefix: string, after?: string): Promise<{ entries: Entry[]; more: boolean; revision: number }> {
+    await this.requests.take();
+    const since = after === undefined ? '' : `&since=${encodeURIComponent(after)}`;
+    const path = `/store?prefix=${encodeURIComponent(prefix)}${since}&limit=${PAGE}`;
+    const page = this.#parse(await this.#call('GET', path, undefined), listSchema);
+    return {
+      entries: page.entries.map((e) => ({ key: e.path, value: e.data, version: e.stamp })),
+      more: page.hasNext,
+      revision: page.ledger,
+    };
+  }
+
+  async txn(guards: Guard[], changes: Change[], urgent = false): Promise<TxnResult> {
+    if (urgent) {
+      this.requests.takeNow();
+      this.writes.takeNow(changes.length);
+    } else {
+      await this.writes.take(changes.length);
+      await this.requests.take();
+    }
+    const body = {
+      guards: guards.map((g) => ({ path: g.key, stamp: g.version })),
+      apply: changes.map((c) =>
+        'put' in c
+          ? { set: c.put, data: c.value, ...(c.lease === undefined ? {} : { hold: c.lease }) }
+          : { delete: c.delete },
+      ),
+    };
+    const answer = await this.#call('POST', '/txn', body);
+    if (answer.status === 409) {
+      const failed = this.#parse({ status: 200, body: answer.body }, txnFailed);
+      return { ok: false, failed: failed.failed, revision: failed.ledger };
+    }
+    if (answer.status === 400 && (answer.body as { error?: unknown } | null)?.error === 'no such lease') {
+      throw new LeaseGone('the lease of a change has ended');
+    }
+    return { ok: true, revision: this.#parse(answer, txnOk).ledger };
+  }
+
+  async grant(ttlMs: number): Promise<number> {
+    this.requests.takeNow();
+    return this.#parse(await this.#call('POST', '/grants', { ttlMs }), grantSchema).hold;
+  }
+
+  async extend(lease: number): Promise<boolean> {
+    this.requests.takeNow();
+    const answer = await this.#call('POST', `/grants/${lease}/extend`, {});
+    if (answer.status === 404) return false;
+    this.#parse(answer, z.unknown());
+    return true;
+  }
+
+  async revoke(lease: number): Promise<void> {
+    this.requests.takeNow();
+    const answer = await this.#call('DELETE', `/grants/${lease}`, undefined);
+    if (answer.status !== 404) this.#parse(answer, z.unknown());
+  }
+
+  async changes(
+    prefix: string,
+    since: number,
+    waitMs: number,
+  ): Promise<{ revision: number; events: Event[] } | undefined> {
+    this.requests.takeNow();
+    const path = `/changes?prefix=${encodeURIComponent(prefix)}&since=${since}&holdMs=${waitMs}`;
+    const answer = await this.http.call(this.address, 'GET', path, undefined, waitMs + this.timeoutMs);
+    if (answer.status === 410) return undefined;
+    const { ledger, news } = this.#parse(answer, changesSchema);
+    return {
+      revision: ledger,
+      events: news.map((n) =>
+        'set' in n
+          ? { key: n.set, version: n.stamp, value: n.data, deleted: false }
+          : { key: n.delete, version: n.stamp, deleted: true },
+      ),
+    };
+  }
+
+  #call(method: string, path: string, body: unknown): Promise<{ status: number; body: unknown }> {
+    return this.http.call(this.address, method, path, body, this.timeoutMs);
+  }
+
+  #parse<T>(answer: { status: number; body: unknown }, schema: z.ZodType<T>): T {
+    if (answer.status === 503 || answer.status === 429)
+      throw new StateRefused(`state service: ${answer.status}`);
+    if (answer.status !== 200) throw new NoAnswer(`state service: status ${answer.status}`, true);
+    const parsed = schema.safeParse(answer.body);
+    if (!parsed.success) throw new NoAnswer('state service: malformed answer', true);
+    return parsed.data;
+  }
+}
