--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -146,6 +146,21 @@
     return this.#dueAt(table) - this.estimates.runS(table.job) * 1000 - this.deps.clock.date().getTime();
   }
 
+  /**
+   * How long a job that has tasks waiting can still wait and start in time, by the aims for its class; undefined when
+   * there is none that it can still reach.
+   */
+  startSlackMs(table: DispatchTable): number | undefined {
+    const ageMs = this.ageMs(table);
+    let least: number | undefined;
+    for (const { kind, class: jobClass, within_s } of this.deps.settings.platform.deployment.objectives) {
+      if (kind !== 'wait' || jobClass !== table.job.jobClass || within_s === undefined) continue;
+      const left = within_s * 1000 - ageMs;
+      if (left > 0) least = Math.min(least ?? Infinity, left);
+    }
+    return least;
+  }
+
   /** How long since the job was submitted. */
   ageMs(table: DispatchTable): number {
     return this.deps.clock.date().getTime() - table.submittedAt;
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -1,6 +1,7 @@
 import { PRIORITY_RANK } from '../protocol/model';
 import type { Attempts } from './attempts';
 import type { Block } from './block';
+import { chooseConsolidation, type SparseMachine } from './consolidation';
 import type { Deps } from './deps';
 import { eagerCandidates } from './eager';
 import type { FleetInput, FleetMachine, RentOption } from './fleet';
@@ -17,6 +18,13 @@
 const HELD_UP_MS = 5_000;
 /** Preemption walks over all that runs; what it stops takes seconds to go. */
 const PREEMPT_EVERY_MS = 250;
+const CONSOLIDATE_EVERY_MS = 2_000;
+/** A task that began so recently is not moved. */
+const STAY_S = 10;
+/** One that runs past its estimate is expected to go on for this part of what it has run. */
+const OVERDUE_GOES_ON = 0.3;
+/** Work that is to start within so many boot times is not left to wait for room that comes free. */
+const START_IN_BOOTS = 3;
 
 /** The decisions of a block's rounds: which attempts to issue, and which to stop. */
 export class Scheduler {
@@ -25,6 +33,7 @@
   #complete = false;
   #completeOnce = false;
   #preemptedAt = -Infinity;
+  #consolidatedAt = -Infinity;
 
   constructor(
     private readonly block: Block,
@@ -42,6 +51,7 @@
     this.#heedNotices(now);
     this.#eager(now);
     this.#retire(now);
+    this.#consolidate(now);
   }
 
   /** Finds room for what waits. True: the time was up before all had their turn. */
@@ -262,6 +272,43 @@
     }
   }
 
+  /** Tasks of nearly empty machines are saved and go on elsewhere, so that the machines can be returned. */
+  #consolidate(now: number): void {
+    const { block } = this;
+    if (now - this.#consolidatedAt < CONSOLIDATE_EVERY_MS) return;
+    this.#consolidatedAt = now;
+    // Not while anything waits for room, which it would take.
+    if (!this.#complete || this.#unplaced.size > 0 || !block.allKnown) return;
+    const machines: SparseMachine[] = [];
+    let totalCpus = 0;
+    for (const m of block.machines.values()) {
+      if (!block.usable(m, now)) continue;
+      totalCpus += m.type.cpus;
+      const tasks = [...m.attempts.values()].flatMap((a) => {
+        const job = block.tables.get(a.job)?.job;
+        if (!job || !holdsRoom(a)) return [];
+        const ran = ranS(a, now);
+        const canSave = a.phase === 'running' && !a.stop && job.checkpointS > 0 && ran >= STAY_S;
+        const remainingS = Math.max(block.estimates.runS(job) - ran, ran * OVERDUE_GOES_ON);
+        return [{ key: a.key, job, remainingS, canSave }];
+      });
+      const { id, type, record } = m;
+      machines.push({ id, type, zone: record.zone, spot: record.spot, free: m.free(), tasks });
+    }
+    const warmCpus = totalCpus * this.deps.settings.operator.warm_share;
+    for (const { machine: id, tasks } of chooseConsolidation({ machines, warmCpus })) {
+      const machine = block.machines.get(id);
+      if (!machine) continue;
+      machine.leaving = 'sparse';
+      this.deps.log.info({ machine: id, tasks: tasks.length }, 'machine emptied');
+      for (const key of tasks) {
+        const attempt = machine.attempts.get(key);
+        const job = attempt && block.tables.get(attempt.job)?.job;
+        if (job) this.attempts.want(machine, attempt, job.saveS);
+      }
+    }
+  }
+
   /** Machines that are of no more use. */
   #retire(now: number): void {
     const lateFactor = this.deps.settings.operator.late_boot_factor;
@@ -276,6 +323,10 @@
     }
   }
 
+  #longestBootMs(): number {
+    return Math.max(0, ...this.deps.types().map((t) => t.bootS)) * 1000;
+  }
+
   fleetInput(refused: (option: RentOption) => boolean): FleetInput | undefined {
     const { block } = this;
     if (!this.#completeOnce || (!block.allKnown && this.#unplaced.size === 0)) return undefined;
@@ -307,8 +358,11 @@
     const unplaced = [...this.#unplaced].flatMap(([id, count]) => {
       const table = block.tables.get(id);
       if (!table) return [];
-      const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high;
-      const slackMs = block.slackMs(table);
+      const startSlackMs = block.startSlackMs(table);
+      // Room that comes free by itself comes too late for what is to start about as soon as a machine can be had.
+      const startsSoon = startSlackMs !== undefined && startSlackMs < this.#longestBootMs() * START_IN_BOOTS;
+      const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high || startsSoon;
+      const slackMs = Math.min(block.slackMs(table), startSlackMs ?? Infinity);
       return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { chooseConsolidation } from '../src/coordination/consolidation';
 import { eagerCandidates } from '../src/coordination/eager';
 import { Machine } from '../src/coordination/machine';
 import { planFleet, type FleetInput } from '../src/coordination/fleet';
@@ -291,3 +292,23 @@
     'n is kept clear',
   );
 });
+
+test('a nearly empty machine is emptied into fuller ones, if its tasks can save and it pays', () => {
+  const saver = job('saver', 'blue', 'normal', { checkpointS: 20, saveS: 1 });
+  const task = (n: number, fields = {}) => ({
+    ...{ key: `saver/${n}`, job: saver, remainingS: 60, canSave: true },
+    ...fields,
+  });
+  const machine = (id: string, tasks: ReturnType<typeof task>[]) => ({
+    ...roomy(id, 4 - tasks.length),
+    tasks,
+  });
+  const fuller = machine('fuller', [task(1), task(2), task(3)]);
+  const emptied = (sparse: ReturnType<typeof machine>, warmCpus = 0): unknown =>
+    chooseConsolidation({ machines: [fuller, sparse], warmCpus });
+  assert.deepEqual(emptied(machine('sparse', [task(4)])), [{ machine: 'sparse', tasks: ['saver/4'] }]);
+  assert.deepEqual(emptied(machine('sparse', [task(4, { canSave: false })])), []);
+  assert.deepEqual(emptied(machine('sparse', [task(4, { remainingS: 5 })])), [], 'it ends by itself soon');
+  assert.deepEqual(emptied(machine('sparse', [task(4), task(5)])), [], 'both do not fit');
+  assert.deepEqual(emptied(machine('sparse', [task(4)]), 1), [], 'some room is kept');
+});
