--- a/src/coordination/consolidation.ts
+++ b/src/coordination/consolidation.ts
@@ -25,7 +25,7 @@
   readonly warmCpus: number;
 }
 
-/** Machines that are fuller than this are left alone. */
+/** Machines that are fuller than this are left alone, unless their tasks fit onto spot machines and they are none. */
 const SPARSE = 0.5;
 /** A task that can't be moved, and would be done by then, does not keep its machine from being emptied. */
 const SOON_S = 15;
@@ -42,9 +42,12 @@
   const used = (m: SparseMachine): number => 1 - m.free.cpus / m.type.cpus;
   const rooms = new Map(input.machines.map((m) => [m.id, { ...m.free }]));
   let spare = input.machines.reduce((sum, m) => sum + Math.max(0, m.free.cpus), 0) - input.warmCpus;
-  const sparse = input.machines.filter((m) => m.tasks.length > 0 && used(m) <= SPARSE && isWorth(m));
-  sparse.sort((a, b) => used(a) - used(b));
-  const taking = input.machines.filter((m) => m.tasks.length > 0).sort((a, b) => used(b) - used(a));
+  const sparse = input.machines.filter(
+    (m) => m.tasks.length > 0 && (!m.spot || used(m) <= SPARSE) && isWorth(m),
+  );
+  sparse.sort((a, b) => Number(a.spot) - Number(b.spot) || used(a) - used(b));
+  const taking = input.machines.filter((m) => m.tasks.length > 0);
+  taking.sort((a, b) => Number(b.spot) - Number(a.spot) || used(b) - used(a));
   const given = new Set<string>();
   const chosen: { machine: string; tasks: string[] }[] = [];
   for (const m of sparse) {
@@ -53,10 +56,11 @@
     const moves: { key: string; to: Resources; toId: string; needs: Resources }[] = [];
     const movable = m.tasks.filter((t) => t.canSave && t.remainingS > SOON_S);
     for (const { key, job } of movable) {
-      // Only to machines that are fuller, so that no task is sent to and fro.
+      // Only to cheaper machines, or to ones that are no emptier.
       const to = taking.find((o) => {
         const room = rooms.get(o.id);
-        return o.id !== m.id && used(o) > used(m) && room && fits(job, room) && mayUse(job, o);
+        const better = o.spot === m.spot ? used(o) >= used(m) : o.spot;
+        return o.id !== m.id && better && room && fits(job, room) && mayUse(job, o);
       });
       const room = to && rooms.get(to.id);
       if (!to || !room) break;
@@ -91,5 +95,6 @@
     remainingS = Math.max(remainingS, left);
     cost += job.cpus * (job.saveS + job.imageGb / m.type.fetchGbPerS);
   }
-  return remainingS >= LEAST_REMAINING_S && m.type.cpus * remainingS > WORTH * cost;
+  const dearness = m.spot ? 1 : m.type.price / m.type.spotPrice;
+  return remainingS >= LEAST_REMAINING_S && m.type.cpus * remainingS * dearness > WORTH * cost;
 }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -362,7 +362,7 @@
       // Room that comes free by itself comes too late for what is to start about as soon as a machine can be had.
       const startsSoon = startSlackMs !== undefined && startSlackMs < this.#longestBootMs() * START_IN_BOOTS;
       const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high || startsSoon;
-      const slackMs = Math.min(block.slackMs(table), startSlackMs ?? Infinity);
+      const slackMs = block.slackMs(table);
       return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
