--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -27,8 +27,6 @@
   readonly job: Job;
   readonly count: number;
   readonly urgent: boolean;
-  /** It is to start about as soon as a machine can be had: room that comes free by itself is not waited for. */
-  readonly startsSoon: boolean;
   /** How long its tasks can still wait and be in time. */
   readonly slackMs: number;
 }
@@ -95,10 +93,9 @@
     }));
   let freeing = input.freeingCpus;
   let freeingSoon = input.freeingSoonCpus;
-  for (const { job, count, urgent, startsSoon, slackMs } of input.unplaced) {
+  for (const { job, count, urgent, slackMs } of input.unplaced) {
     let left = count;
-    const waits = startsSoon ? 0 : urgent ? freeingSoon : freeing;
-    const absorbed = Math.min(left, Math.floor(waits / job.cpus));
+    const absorbed = Math.min(left, Math.floor((urgent ? freeingSoon : freeing) / job.cpus));
     left -= absorbed;
     freeing -= absorbed * job.cpus;
     freeingSoon = Math.min(freeing, freeingSoon - (urgent ? absorbed * job.cpus : 0));
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -362,10 +362,11 @@
       const table = block.tables.get(id);
       if (!table) return [];
       const startSlackMs = block.startSlackMs(table);
+      // Room that comes free by itself comes too late for what is to start about as soon as a machine can be had.
       const startsSoon = startSlackMs !== undefined && startSlackMs < this.#longestBootMs() * START_IN_BOOTS;
-      const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high;
+      const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high || startsSoon;
       const slackMs = block.slackMs(table);
-      return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, startsSoon, slackMs }];
+      return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -156,15 +156,7 @@
 
 test('machines are rented for the backlog only, the cheapest first, and kept for what they have cost', () => {
   const input: FleetInput = {
-    unplaced: [
-      {
-        job: job('big', 'blue', 'normal', { tasks: 10 }),
-        count: 10,
-        urgent: false,
-        startsSoon: false,
-        slackMs: 0,
-      },
-    ],
+    unplaced: [{ job: job('big', 'blue', 'normal', { tasks: 10 }), count: 10, urgent: false, slackMs: 0 }],
     machines: [
       { id: 'booting', type, zone: 'a', spot: true, booting: true, ageMs: 1000, idleMs: 0 },
       { id: 'young', type, zone: 'a', spot: true, booting: false, ageMs: 30_000, idleMs: 25_000 },
