--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -71,7 +71,6 @@
   warm_share: z.number().min(0).max(1).default(0.05),
   aged_s: seconds.default(100),
   aged_share: z.number().min(0).max(1).default(0.2),
-  urgent_patience: z.number().min(0).default(0.4),
   rent_patience: z.number().min(0).default(2),
 });
 
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -38,10 +38,8 @@
   readonly types: readonly MachineType[];
   /** Whether the cloud refused this option lately. */
   readonly refused: (option: RentOption) => boolean;
-  /** CPUs that running work will free before a new machine could be of use. */
+  /** CPUs that running work will free before a new machine could be up. */
   readonly freeingCpus: number;
-  /** Those of them that it frees so soon that urgent work waits for them too. */
-  readonly freeingSoonCpus: number;
   readonly idleReleaseMs: number;
   /** Idle CPUs to keep for work that should start at once. */
   readonly warmCpus: number;
@@ -92,13 +90,13 @@
       isNew: false,
     }));
   let freeing = input.freeingCpus;
-  let freeingSoon = input.freeingSoonCpus;
   for (const { job, count, urgent, slackMs } of input.unplaced) {
     let left = count;
-    const absorbed = Math.min(left, Math.floor((urgent ? freeingSoon : freeing) / job.cpus));
-    left -= absorbed;
-    freeing -= absorbed * job.cpus;
-    freeingSoon = Math.min(freeing, freeingSoon - (urgent ? absorbed * job.cpus : 0));
+    if (!urgent) {
+      const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
+      left -= absorbed;
+      freeing -= absorbed * job.cpus;
+    }
     // Room only shrinks: a machine that had none for the last task of a job has none for its next.
     let at = 0;
     while (left > 0) {
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -336,7 +336,6 @@
     let freeCpus = 0;
     let totalCpus = 0;
     let freeingCpus = 0;
-    let freeingSoonCpus = 0;
     for (const m of block.machines.values()) {
       if (m.leaving !== undefined || m.releasing) continue;
       const usable = block.usable(m, now);
@@ -353,9 +352,7 @@
         const table = block.tables.get(a.job);
         if (!holdsRoom(a) || !table) continue;
         const endsMs = (block.estimates.runS(table.job) - ranS(a, now)) * 1000;
-        const endsInBoots = endsMs / (m.type.bootS * 1000);
-        if (endsInBoots < settings.operator.rent_patience) freeingCpus += a.needs.cpus;
-        if (endsInBoots < settings.operator.urgent_patience) freeingSoonCpus += a.needs.cpus;
+        if (endsMs < m.type.bootS * 1000 * settings.operator.rent_patience) freeingCpus += a.needs.cpus;
       }
     }
     const unplaced = [...this.#unplaced].flatMap(([id, count]) => {
@@ -371,9 +368,6 @@
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
     const types = this.deps.types();
-    return {
-      ...{ unplaced, machines, types, refused, freeingCpus, freeingSoonCpus },
-      ...{ idleReleaseMs, warmCpus, freeCpus },
-    };
+    return { unplaced, machines, types, refused, freeingCpus, idleReleaseMs, warmCpus, freeCpus };
   }
 }
