--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -224,6 +224,19 @@
     this.#attempts.apply(machine, changes);
   }
 
+  /** How many machines should report here, and how many of them have not for a while. */
+  hearing(): { machines: number; unheard: number } {
+    const now = this.deps.clock.now();
+    let machines = 0;
+    let unheard = 0;
+    for (const m of this.machines.values()) {
+      if (!m.up || m.gone) continue;
+      machines += 1;
+      if (now - (m.heardAt ?? m.firstSeenAt) > this.#block.timing.missedMs) unheard += 1;
+    }
+    return { machines, unheard };
+  }
+
   // Rounds.
 
   async #step(signal: AbortSignal): Promise<void> {
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -17,6 +17,7 @@
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 import { Leader } from './leader';
+import { isUnheard, Reach } from './reach';
 import { Vouching } from './vouching';
 
 export interface Outside {
@@ -60,6 +61,7 @@
   readonly #leader: Leader;
   readonly #cloudView: CloudView;
   readonly #vouching: Vouching;
+  readonly #reach: Reach;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
   readonly #progress = new Map<string, JobProgress>();
@@ -118,6 +120,7 @@
       () => this.#taking,
       outside.startedAt,
     );
+    this.#reach = new Reach(clock);
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -202,8 +205,11 @@
     // The leader takes it in when the cloud lists it; until then nobody answers for it.
     if (!record) return { kind: 'undecided' };
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
-    if (lease && lease.owner !== this.#deps.node) return { kind: 'elsewhere', owner: lease.owner };
-    return { kind: 'undecided' };
+    if (!lease || lease.owner === this.#deps.node) return { kind: 'undecided' };
+    this.#reach.turnAway(report.machine, record.block);
+    // Sent back to an owner that is cut off, a worker would spend its lease waiting for it.
+    const owner = this.#reach.reaches(lease.owner, record.block) ? lease.owner : undefined;
+    return { kind: 'elsewhere', owner };
   }
 
   onPeerFrame(bytes: Uint8Array): void {
@@ -229,8 +235,9 @@
       return;
     }
     this.#peersHeardAt = this.outside.clock.now();
-    if (message.fresh) this.#peersFreshAt = this.outside.clock.now();
-    this.#takeProgress(message.jobs);
+    if (message.progress.fresh) this.#peersFreshAt = this.outside.clock.now();
+    this.#reach.onProgress(message.progress);
+    this.#takeProgress(message.progress.jobs);
   }
 
   #takeProgress(jobs: readonly JobProgress[]): void {
@@ -269,6 +276,7 @@
         // Once the lease is gone the other may take it: nothing leaves here any more.
         await store.txn([owner.leaseGuard()], [{ delete: KEY.lease(block) }], true);
       }
+      if (!owner.stopped) await this.#handOver(owner);
       if (owner.stopped) this.#owners.delete(block);
     }
     if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
@@ -309,6 +317,24 @@
     }
   }
 
+  /** A node that is cut from most workers of its block gives it to one that they come to instead. */
+  async #handOver(owner: BlockOwner): Promise<void> {
+    const { machines, unheard } = owner.hearing();
+    const heir = this.#reach.heir(owner.block, machines, unheard);
+    const { store, cache, log } = this.#deps;
+    const key = KEY.block(owner.block);
+    const record = read.block(cache.get(key)?.value);
+    if (heir === undefined || !record) return;
+    log.info({ block: owner.block, heir, machines, unheard }, 'another node hears the workers');
+    owner.stop('its workers reach another node only');
+    const value = { ...record, owner: heir };
+    await store.txn(
+      [owner.leaseGuard(), { key, version: cache.version(key) }],
+      [{ put: key, value }, { delete: KEY.lease(owner.block) }],
+      true,
+    );
+  }
+
   async #refreshTypes(signal: AbortSignal): Promise<void> {
     const { cache, store, clock, cloud } = this.#deps;
     if (!cache.loaded) {
@@ -341,7 +367,13 @@
   #shareProgress(): void {
     const jobs = [...this.#owners.values()].flatMap((owner) => (owner.entitled ? owner.progress() : []));
     this.#takeProgress(jobs);
-    const message: PeerMessage = { kind: 'progress', fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) };
-    this.outside.broadcast(writePeerMessage(message));
+    const unheard = [...this.#owners.values()].filter((o) =>
+      isUnheard(o.hearing().machines, o.hearing().unheard),
+    );
+    const progress = {
+      ...{ from: this.#deps.node, fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) },
+      ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reach.turnedAway() },
+    };
+    this.outside.broadcast(writePeerMessage({ kind: 'progress', progress }));
   }
 }
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -22,9 +22,17 @@
   ended: { id: string; version: number }[];
 }
 
+export interface Progress {
+  from: string;
+  fresh: boolean;
+  jobs: JobProgress[];
+  unheard: number[];
+  turnedAway: { block: number; machines: number }[];
+}
+
 export type PeerMessage =
   | { kind: 'nudge'; event: Event }
-  | { kind: 'progress'; fresh: boolean; jobs: JobProgress[] }
+  | { kind: 'progress'; progress: Progress }
   | { kind: 'ask'; ask: Ask }
   | { kind: 'promise'; promise: PeerPromise };
 
@@ -32,8 +40,7 @@
 
 export function writePeerMessage(message: PeerMessage): Uint8Array {
   if (message.kind === 'progress') {
-    const { fresh, jobs } = message;
-    return type.encode(type.fromObject({ progress: { fresh, jobs } })).finish();
+    return type.encode(type.fromObject({ progress: message.progress })).finish();
   }
   if (message.kind === 'ask') return type.encode(type.fromObject({ ask: message.ask })).finish();
   if (message.kind === 'promise') return type.encode(type.fromObject({ promise: message.promise })).finish();
@@ -47,7 +54,7 @@
   try {
     const message = type.toObject(type.decode(bytes), { longs: Number, defaults: true }) as {
       nudge: { key: string; version: number; deleted: boolean; value: Uint8Array } | null;
-      progress: { fresh: boolean; jobs: JobProgress[] } | null;
+      progress: Progress | null;
       ask: Ask | null;
       promise: PeerPromise | null;
     };
@@ -60,7 +67,7 @@
         : { key, version, deleted, value: codec.decode(value) };
       return { kind: 'nudge', event };
     }
-    return message.progress ? { kind: 'progress', ...message.progress } : undefined;
+    return message.progress ? { kind: 'progress', progress: message.progress } : undefined;
   } catch {
     return undefined;
   }
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -66,7 +66,13 @@
   const messages: PeerMessage[] = [
     { kind: 'nudge', event: { key: 'live/job/req-1', version: 7, deleted: false, value: { a: [1, 'x'] } } },
     { kind: 'nudge', event: { key: 'live/job/req-1', version: 2 ** 40, deleted: true } },
-    { kind: 'progress', fresh: true, jobs: [{ id: 'req-1', running: 3, done: 4 }] },
+    {
+      kind: 'progress',
+      progress: {
+        ...{ from: 'node-2', fresh: true, jobs: [{ id: 'req-1', running: 3, done: 4 }] },
+        ...{ unheard: [3], turnedAway: [{ block: 0, machines: 12 }] },
+      },
+    },
     { kind: 'ask', ask: { from: 'node-0', number: 5, revision: 2 ** 33 } },
     {
       kind: 'promise',
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -45,6 +45,8 @@
   cloudGarbage = false;
   /** What controllers tell each other is lost. */
   silencePeers = false;
+  /** Controllers that no other hears, and that hear no other. */
+  readonly mutes = new Set<string>();
   readonly #facts = new Map<string, JobFacts>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #on = new Map<string, string>();
@@ -98,9 +100,10 @@
       log: quiet,
       http: this.network.caller(own.name),
       broadcast: (bytes) => {
-        if (this.silencePeers) return;
+        if (this.silencePeers || this.mutes.has(own.name)) return;
         for (const other of this.controllers) {
-          if (other.alive && other.name !== own.name) other.node.onPeerFrame(Buffer.from(bytes));
+          if (other.alive && !this.mutes.has(other.name) && other.name !== own.name)
+            other.node.onPeerFrame(Buffer.from(bytes));
         }
       },
     });
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -144,3 +144,42 @@
   await world.untilStanding('req-1', 'done', 120, reader);
   world.noRuleBroken();
 });
+
+test('an owner that is cut from its workers alone gives the block to a node that they come to', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 16, reckonS: 60 }, 60);
+  await world.until('16 tasks run', () => world.running.length >= 16);
+  const old = world.owner;
+  const address = world.controllers[old]?.address ?? '';
+  // What they send it is held up, and so is what it sends them; state service and peers it reaches as before.
+  const heal = world.network.rule(({ from, to }) =>
+    (from.startsWith('host-') && to === address) || (from === `node-${old}` && to.startsWith('10.1.'))
+      ? 'lose'
+      : undefined,
+  );
+  const cutAt = world.clock.now();
+  await world.until('another node owns the block', () => world.owner >= 0 && world.owner !== old, 30);
+  assert.ok(world.clock.now() - cutAt < 9_000, `${world.clock.now() - cutAt} ms`);
+  await world.clock.advance(15_000);
+  assert.ok(world.running.length >= 16, `${world.running.length} tasks run`);
+  heal();
+  await world.untilStanding('req-1', 'done', 120, world.owner);
+  assert.equal([...world.workers.values()].flatMap((w) => w.startOrders).length, 16, 'nothing was lost');
+  world.noRuleBroken();
+});
+
+test('workers are not sent back to an owner that is cut off, and their leases outlast the takeover', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 16, reckonS: 60 }, 60);
+  await world.until('16 tasks run', () => world.running.length >= 16);
+  const old = world.owner;
+  const name = `node-${old}`;
+  const address = world.controllers[old]?.address ?? '';
+  world.network.rule(({ from, to }) => (from === name || to === address ? 'lose' : undefined));
+  world.mutes.add(name);
+  await world.clock.advance(20_000);
+  assert.equal(world.running.length, 16);
+  await world.untilStanding('req-1', 'done', 120, world.owner);
+  assert.equal([...world.workers.values()].flatMap((w) => w.startOrders).length, 16, 'nothing was lost');
+  world.noRuleBroken();
+});
