Keep the leases of workers beyond a cut: a node that they reach answers, once it has written that it does

An owner takes a silent worker for dead only when the state service says that nobody keeps and its view holds all keeping before.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -16,6 +16,8 @@
   machine: (id: string) => `live/machine/${id}`,
   job: (id: string) => `live/job/${id}`,
   done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
+  /** A node that does not own the block keeps the leases of workers which reach it and not the owner. */
+  keep: (block: number, node: string) => `live/keep/${block}/${node}`,
   final: (id: string) => `final/${id}`,
 };
 export const PREFIX = {
@@ -23,6 +25,7 @@
   machine: 'live/machine/',
   job: 'live/job/',
   done: 'live/done/',
+  keep: 'live/keep/',
 };
 
 const count = z.int().min(0);
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -92,6 +92,10 @@
     };
     loop('rounds', () => this.#step(signal));
     loop('token', () => this.#token.step(signal));
+    loop('ends of leases', async () => {
+      await this.deps.clock.sleep(TICK_MS, signal);
+      if (this.entitled) await this.#scheduler.expire();
+    });
     loop('records', () => this.#recorder.step(signal));
     loop('renting', () => this.#fleet.rentStep(signal));
     loop('records of machines', () => this.#fleet.recordStep(signal));
@@ -143,6 +147,9 @@
     } else if (key.startsWith(PREFIX.machine)) {
       if (event.deleted) this.#removeMachine(key.slice(PREFIX.machine.length));
       else this.#block.loadMachine(key, event.value);
+    } else if (key.startsWith(`${PREFIX.keep}${this.block}/`)) {
+      // Up to the end of its record a keeper may have answered.
+      this.#scheduler.heedKeeping(this.deps.clock.now());
     } else if (key === KEY.lease(this.block)) {
       this.#onLease(event);
     }
@@ -232,7 +239,7 @@
     for (const m of this.machines.values()) {
       if (!m.up || m.gone) continue;
       machines += 1;
-      if (now - (m.heardAt ?? m.firstSeenAt) > this.#block.timing.missedMs) unheard += 1;
+      if (m.isSilent(now, this.#block.timing.missedMs)) unheard += 1;
     }
     return { machines, unheard };
   }
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -161,6 +161,25 @@
     return least;
   }
 
+  /** Nodes that keep leases of this block's workers, as far as our view goes. */
+  get keepers(): string[] {
+    const { settings, cache } = this.deps;
+    const nodes = settings.platform.others.map(({ node }) => node);
+    return nodes.filter((node) => cache.get(KEY.keep(this.number, node)) !== undefined);
+  }
+
+  /** Whether the state service says that nobody keeps, and our view holds all that was kept before. */
+  async nobodyKeeps(): Promise<boolean> {
+    const { settings, store, cache, clock } = this.deps;
+    const guards = settings.platform.others.map(({ node }) => ({
+      key: KEY.keep(this.number, node),
+      version: 0,
+    }));
+    const result = await store.txn([this.leaseGuard(), ...guards], []);
+    while (result.ok && cache.revision < result.revision && this.entitled) await clock.sleep(20);
+    return result.ok && this.entitled;
+  }
+
   /** How long since the job was submitted. */
   ageMs(table: DispatchTable): number {
     return this.deps.clock.date().getTime() - table.submittedAt;
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -57,8 +57,14 @@
    * those that seem to hear nothing. All at once would take a socket each: the longest unasked go first.
    */
   ask(now: number): void {
-    const silent = [...this.block.unsettled].filter((m) => m.up);
-    for (const machine of [...silent, ...this.#deaf].sort((a, b) => a.probedAt - b.probedAt)) {
+    const due = new Set([...this.block.unsettled, ...this.#deaf]);
+    // Workers that another node keeps may be within our reach all the same: their reports go there, so we ask.
+    if (this.block.keepers.length > 0) {
+      for (const m of this.block.machines.values())
+        if (m.isSilent(now, this.block.timing.missedMs)) due.add(m);
+    }
+    for (const machine of [...due].sort((a, b) => a.probedAt - b.probedAt)) {
+      if (!machine.up || machine.gone) continue;
       if (this.#out.size >= this.#mostOut) return;
       if (now - machine.probedAt < ASK_EVERY_MS || this.#out.has(machine)) continue;
       machine.probedAt = now;
--- /dev/null
+++ b/src/coordination/keeping.ts
@@ -0,0 +1,70 @@
+import { KEY, read } from '../bookkeeping/records';
+import type { Order, Report } from '../protocol/model';
+import type { Deps } from './deps';
+import type { Reach } from './reach';
+
+/** How long a node goes on keeping after it last had a reason to. */
+const LINGER_MS = 3_000;
+
+/**
+ * Keeps the leases of another node's workers while they reach this node and not their owner: zones cut from each
+ * other, or a takeover. A keeper answers reports with the block's current token and starts nothing; all it orders is
+ * to stop tasks of jobs that are over. The owner must not take such workers for dead, so a keeper first writes that it
+ * keeps, in a record that hangs on its own lease, and answers only while that lease is valid; the owner declares a
+ * silent worker dead only when the state service says that nobody keeps.
+ */
+export class Keeping {
+  /** Blocks that our record, acknowledged and never taken back since, says we keep. */
+  readonly #kept = new Set<number>();
+  readonly #neededAt = new Map<number, number>();
+
+  constructor(
+    private readonly deps: Deps,
+    private readonly reach: Reach,
+  ) {}
+
+  /** One step: writes or deletes our records. To be run in a loop, and whenever a peer may have become unreachable. */
+  async step(): Promise<void> {
+    const { cache, session, node, settings, clock, store } = this.deps;
+    if (!cache.loaded || !session.valid || session.lease === undefined) {
+      this.#kept.clear();
+      return;
+    }
+    const now = clock.now();
+    for (let block = 0; block < settings.operator.blocks; block += 1) {
+      const lease = read.lease(cache.get(KEY.lease(block))?.value);
+      const key = KEY.keep(block, node);
+      if (lease && lease.owner !== node && !this.reach.reaches(lease.owner, block)) {
+        this.#neededAt.set(block, now);
+      }
+      const needed =
+        lease !== undefined &&
+        lease.owner !== node &&
+        now - (this.#neededAt.get(block) ?? -Infinity) < LINGER_MS;
+      if (needed && !this.#kept.has(block)) {
+        const result = await store.txn(
+          [{ key, version: cache.version(key) }],
+          [{ put: key, value: {}, lease: session.lease }],
+          true,
+        );
+        if (result.ok) this.#kept.add(block);
+      } else if (!needed && (this.#kept.has(block) || cache.get(key))) {
+        // In this order: nothing is answered any more when the record goes.
+        this.#kept.delete(block);
+        await store.txn([{ key, version: cache.version(key) }], [{ delete: key }], true);
+      }
+    }
+  }
+
+  /** The answer to a worker's report, if we keep its block; only for a machine that holds tasks. */
+  answer(report: Report, block: number): { token: number; orders: Order[] } | undefined {
+    const { cache, session, node } = this.deps;
+    if (!this.#kept.has(block) || !session.valid || report.attempts.length === 0) return undefined;
+    const lease = read.lease(cache.get(KEY.lease(block))?.value);
+    if (!lease || lease.owner === node || this.reach.reaches(lease.owner, block)) return undefined;
+    const orders: Order[] = report.attempts
+      .filter((a) => a.phase !== 'exited' && !cache.get(KEY.job(a.job)))
+      .map(({ job, task, attempt }) => ({ op: 'stop', job, task, attempt, graceS: 0 }));
+    return { token: lease.token, orders };
+  }
+}
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -141,6 +141,10 @@
     return this.answeredAt + leaseMs * (1 + 2 * DRIFT) + DEAD_MARGIN_MS;
   }
 
+  isSilent(now: number, missedMs: number): boolean {
+    return now - (this.heardAt ?? this.firstSeenAt) > missedMs;
+  }
+
   /** Whether tasks may be started here. */
   mayStart(now: number, leaseMs: number, missedMs: number): boolean {
     return (
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -16,6 +16,7 @@
 import { BlockOwner } from './block-owner';
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
+import { Keeping } from './keeping';
 import { Leader } from './leader';
 import { isUnheard, Reach } from './reach';
 import { Vouching } from './vouching';
@@ -42,6 +43,7 @@
 const LEADER_PAUSE_MS = 1_000;
 const OWNER_PAUSE_MS = 500;
 const PROGRESS_MS = 1_000;
+const KEEPING_MS = 250;
 const TYPES_REFRESH_MS = 60_000;
 const FRESH_FOR_MS = 6_000;
 const PEER_MEMORY_MS = 3_500;
@@ -62,6 +64,7 @@
   readonly #cloudView: CloudView;
   readonly #vouching: Vouching;
   readonly #reach: Reach;
+  readonly #keeping: Keeping;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
   readonly #progress = new Map<string, JobProgress>();
@@ -121,6 +124,7 @@
       outside.startedAt,
     );
     this.#reach = new Reach(clock);
+    this.#keeping = new Keeping(this.#deps, this.#reach);
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -145,6 +149,10 @@
       await this.#ownerWake.wait(OWNER_PAUSE_MS);
       await this.#own();
     });
+    loop('keeping', async () => {
+      await clock.sleep(KEEPING_MS, signal);
+      await this.#keeping.step();
+    });
     loop('vouching', () => this.#vouching.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
     loop('cloud list', () => this.#listCloud(signal), 3_000);
@@ -207,6 +215,8 @@
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
     if (!lease || lease.owner === this.#deps.node) return { kind: 'undecided' };
     this.#reach.turnAway(report.machine, record.block);
+    const kept = record.up ? this.#keeping.answer(report, record.block) : undefined;
+    if (kept) return { kind: 'accepted', ...kept };
     // Sent back to an owner that is cut off, a worker would spend its lease waiting for it.
     const owner = this.#reach.reaches(lease.owner, record.block) ? lease.owner : undefined;
     return { kind: 'elsewhere', owner };
@@ -247,6 +257,7 @@
   #onChange(event: Event): void {
     for (const owner of this.#owners.values()) owner.onChange(event);
     const { key } = event;
+    if (key.startsWith(PREFIX.keep)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
     } else if (!key.startsWith(PREFIX.done) && !key.startsWith(PREFIX.machine)) {
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -47,7 +47,7 @@
 
   /** What need not be looked at with every message: walks over all machines, on a clock. */
   housekeep(now: number): void {
-    this.#expire(now);
+    this.#heedKeepers(now);
     this.#heedNotices(now);
     this.#eager(now);
     this.#retire(now);
@@ -187,16 +187,36 @@
     }
   }
 
-  /** Machines whose workers' leases ran out: they have killed and forgotten all they had. */
-  #expire(now: number): void {
+  #heedKeepers(now: number): void {
+    if (this.block.keepers.length > 0) this.heedKeeping(now);
+  }
+
+  /** Some node keeps leases, or has until now: any silent worker may have been answered just now. */
+  heedKeeping(now: number): void {
     for (const machine of this.block.machines.values()) {
-      if (machine.settled && machine.attempts.size === 0) continue;
-      if (now <= machine.deadAt(this.block.timing.leaseMs)) continue;
-      // Nobody can have answered it since.
-      this.deps.log.info(
-        { machine: machine.id, attempts: machine.attempts.size },
-        'lease of a silent machine ran out',
-      );
+      if (machine.up) machine.answeredAt = Math.max(machine.answeredAt, now);
+    }
+  }
+
+  #overdue(now: number): Machine[] {
+    return [...this.block.machines.values()].filter(
+      (m) => !(m.settled && m.attempts.size === 0) && now > m.deadAt(this.block.timing.leaseMs),
+    );
+  }
+
+  /**
+   * Machines whose workers' leases ran out: they have killed and forgotten all they had, for nobody can have answered
+   * them since, neither we nor a keeper.
+   */
+  async expire(): Promise<void> {
+    if (this.#overdue(this.deps.clock.now()).length === 0) return;
+    if (!(await this.block.nobodyKeeps())) return;
+    // What was kept until a moment ago is in our view by now.
+    const now = this.deps.clock.now();
+    this.#heedKeepers(now);
+    for (const machine of this.#overdue(now)) {
+      const { id, attempts } = machine;
+      this.deps.log.info({ machine: id, attempts: attempts.size }, 'lease of a silent machine ran out');
       this.attempts.dropAll(machine);
     }
   }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -47,6 +47,8 @@
   silencePeers = false;
   /** Controllers that no other hears, and that hear no other. */
   readonly mutes = new Set<string>();
+  /** Pairs of controllers that do not hear each other, as `a|b`. */
+  readonly apart = new Set<string>();
   readonly #facts = new Map<string, JobFacts>();
   readonly #cancelledAt = new Map<string, number>();
   readonly #on = new Map<string, string>();
@@ -102,7 +104,9 @@
       broadcast: (bytes) => {
         if (this.silencePeers || this.mutes.has(own.name)) return;
         for (const other of this.controllers) {
-          if (other.alive && !this.mutes.has(other.name) && other.name !== own.name)
+          const cut =
+            this.apart.has(`${own.name}|${other.name}`) || this.apart.has(`${other.name}|${own.name}`);
+          if (other.alive && !cut && !this.mutes.has(other.name) && other.name !== own.name)
             other.node.onPeerFrame(Buffer.from(bytes));
         }
       },
--- /dev/null
+++ b/test/zones.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './fakes/world';
+
+/** Half of the machines, and one controller, can't reach the owner and the third controller, nor these them. */
+async function apart(world: World): Promise<{ owner: number; keeper: number; far: string[]; heal(): void }> {
+  await world.submit('req-1', { pieces: 32, reckonS: 60 }, 60);
+  await world.until('32 tasks run', () => world.running.length >= 32);
+  const owner = world.owner;
+  const keeper = (owner + 1) % 3;
+  const third = (owner + 2) % 3;
+  const used = new Set(world.running.map((piece) => world.where(piece) ?? ''));
+  const far = [...used].slice(0, 4);
+  const farAddresses = far.map((id) => world.worker(id).address);
+  const near = [world.controllers[owner], world.controllers[third]];
+  const remove = world.network.rule(({ from, to }) => {
+    const up = far.includes(from) && near.some((c) => c?.address === to);
+    const down = farAddresses.includes(to) && near.some((c) => c?.name === from);
+    return up || down ? 'lose' : undefined;
+  });
+  for (const c of near) world.apart.add(`${world.controllers[keeper]?.name}|${c?.name}`);
+  return {
+    ...{ owner, keeper, far },
+    heal: () => {
+      remove();
+      world.apart.clear();
+    },
+  };
+}
+
+const starts = (world: World): number => [...world.workers.values()].flatMap((w) => w.startOrders).length;
+
+test('zones cut from each other for long: a controller beyond the cut keeps the leases, and no task is lost', async () => {
+  const world = new World();
+  const { owner, heal } = await apart(world);
+  for (let second = 0; second < 30; second += 1) {
+    await world.clock.advance(1000);
+    assert.equal(world.running.length, 32, `after ${second} s`);
+  }
+  assert.equal(world.owner, owner);
+  heal();
+  await world.untilStanding('req-1', 'done', 120, owner);
+  assert.equal(starts(world), 32);
+  await world.clock.advance(10_000);
+  assert.deepEqual(
+    [...world.state.data.keys()].filter((key) => key.startsWith('live/keep/')),
+    [],
+  );
+  world.noRuleBroken();
+});
+
+test('a cancellation reaches tasks beyond the cut through the keeper', async () => {
+  const world = new World();
+  const { owner, far } = await apart(world);
+  await world.clock.advance(8000);
+  assert.equal(await world.cancel('req-1', owner), 'withdrawn');
+  await world.clock.advance(8000);
+  assert.deepEqual(world.running, [], far.join());
+  await world.clock.advance(30_000);
+  world.noRuleBroken();
+});
+
+test('when the keeper dies, what it kept is issued again only after those leases have run out', async () => {
+  const world = new World();
+  const { owner, keeper, far } = await apart(world);
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  await world.clock.advance(15_000);
+  assert.equal(world.running.length, 32);
+  world.kill(keeper);
+  await world.until(
+    'all run again',
+    () => world.running.every((p) => !far.includes(world.where(p) ?? '')),
+    40,
+  );
+  await world.untilStanding('req-1', 'done', 200, owner);
+  world.noRuleBroken();
+});
+
+test('when the owner dies during the cut, the one who takes over starts nothing that is kept elsewhere', async () => {
+  const world = new World();
+  const { owner, keeper, heal } = await apart(world);
+  await world.clock.advance(7000);
+  world.kill(owner);
+  await world.clock.advance(25_000);
+  heal();
+  await world.untilStanding('req-1', 'done', 200, keeper);
+  world.noRuleBroken();
+});
