--- a/test/zones.test.ts
+++ b/test/zones.test.ts
@@ -6,6 +6,9 @@
 async function apart(world: World): Promise<{ owner: number; keeper: number; far: string[]; heal(): void }> {
   await world.submit('req-1', { pieces: 32, reckonS: 60 }, 60);
   await world.until('32 tasks run', () => world.running.length >= 32);
+  // There is room to start everything beyond the cut again, and once more: nothing but the owner's care prevents it.
+  for (let n = 0; n < 4; n += 1) world.addWorker('b');
+  await world.clock.advance(13_000);
   const owner = world.owner;
   const keeper = (owner + 1) % 3;
   const third = (owner + 2) % 3;
@@ -86,3 +89,15 @@
   await world.untilStanding('req-1', 'done', 200, keeper);
   world.noRuleBroken();
 });
+
+test('a keeper may have answered up to the end of its record, however late the owner comes to look', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 1 }, 60);
+  await world.until('a task runs', () => world.running.length > 0);
+  const owner = world.controllers[world.owner]?.node.owners.get(0);
+  const machine = owner?.machines.get(world.where('req-1/0') ?? '');
+  assert.ok(owner && machine);
+  machine.answeredAt = 0;
+  owner.onChange({ key: 'live/keep/0/node-1', version: 10 ** 6, deleted: true });
+  assert.equal(machine.answeredAt, world.clock.now());
+});
