--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -15,6 +15,8 @@
   readonly runS: number;
   /** It has waited so long that it gets some room out of turn. */
   readonly aged: boolean;
+  /** A task of it has been issued or is done. */
+  readonly begun: boolean;
   readonly submittedAt: number;
 }
 
@@ -111,7 +113,11 @@
     kind === 'aged' ? -1 : 2 * PRIORITY_RANK[waiting.job.priority] + (kind === 'owed' ? 0 : 1);
   const late = (turn: Turn): number => (turn.waiting.slackMs < 0 ? 1 : 0);
   return turns.sort((a, b) => {
-    if (a.kind === 'aged' && b.kind === 'aged') return a.waiting.submittedAt - b.waiting.submittedAt;
+    if (a.kind === 'aged' && b.kind === 'aged') {
+      // What has not begun goes before an older job that has, which might use up its team's limit by itself.
+      const byBegun = Number(a.waiting.begun) - Number(b.waiting.begun);
+      return byBegun !== 0 ? byBegun : a.waiting.submittedAt - b.waiting.submittedAt;
+    }
     const byRank = rank(a) - rank(b) || late(a) - late(b);
     if (byRank !== 0) return byRank;
     return late(a) === 1 ? a.waiting.work - b.waiting.work : a.waiting.slackMs - b.waiting.slackMs;
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -112,6 +112,7 @@
         // However much that is smaller or more urgent comes in: the oldest get some room out of turn, for otherwise
         // a large job that is late would wait for as long as the surplus lasts.
         aged: block.ageMs(table) > agedMs && (!begun || slackMs < 0) && !table.suspect,
+        begun,
         submittedAt: table.submittedAt,
       });
     }
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -36,7 +36,7 @@
 function waiting(j: Job, slackMs = 0, work = 1): WaitingJob {
   return {
     ...{ job: j, waiting: j.tasks, zones: new Map(), slackMs, work, avoid: new Set(), runS: 10 },
-    ...{ aged: false, submittedAt: 0 },
+    ...{ aged: false, begun: false, submittedAt: 0 },
   };
 }
 
@@ -312,3 +312,16 @@
   assert.deepEqual(emptied(machine('sparse', [task(4), task(5)])), [], 'both do not fit');
   assert.deepEqual(emptied(machine('sparse', [task(4)]), 1), [], 'some room is kept');
 });
+
+test('of what waited too long, a job that has not begun goes before an older one that has', () => {
+  const teams = new Map([['blue', { ...limits(0), cpus_max: 4 }]]);
+  const aged = { aged: true, slackMs: -90 };
+  const older = { ...waiting(job('older', 'blue', 'normal')), ...aged, begun: true, submittedAt: 1 };
+  const newer = { ...waiting(job('newer', 'blue', 'normal', { tasks: 1 })), ...aged, submittedAt: 2 };
+  const input = { turns: order([older, newer], teams), teams, use: new Map<string, never>() };
+  const { placements } = place(
+    { ...input, machines: [roomy('m', 4)], agedCpus: 2, agedRuns: false, from: 0 },
+    () => false,
+  );
+  assert.equal(placements[0]?.job, 'newer');
+});
