--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -210,7 +210,8 @@
    * them since, neither we nor a keeper.
    */
   async expire(): Promise<void> {
-    if (this.#overdue(this.deps.clock.now()).length === 0) return;
+    // Without the state service nobody can be asked who keeps; returning a machine proves its end all the same.
+    if (this.deps.store.troubled || this.#overdue(this.deps.clock.now()).length === 0) return;
     if (!(await this.block.nobodyKeeps())) return;
     // What was kept until a moment ago is in our view by now.
     const now = this.deps.clock.now();
