--- a/src/coordination/consolidation.ts
+++ b/src/coordination/consolidation.ts
@@ -27,12 +27,13 @@
 
 /** Machines that are fuller than this are left alone, unless their tasks fit onto spot machines and they are none. */
 const SPARSE = 0.5;
-/** A task that can't be moved, and would be done by then, does not keep its machine from being emptied. */
-const SOON_S = 15;
-const LEAST_REMAINING_S = 15;
+/** What is gained must be at least this long: estimates are no better. */
+const LEAST_GAIN_S = 15;
 /** What is saved must outweigh what saving, fetching and starting again cost by this much. */
 const WORTH = 2;
 const MOST_AT_ONCE = 4;
+/** The same on large fleets, as a part of their machines. */
+const MOST_PART = 0.02;
 
 /**
  * Nearly empty machines whose tasks fit into the room of others: the tasks are saved and go on there, and the
@@ -45,16 +46,19 @@
   const sparse = input.machines.filter(
     (m) => m.tasks.length > 0 && (!m.spot || used(m) <= SPARSE) && isWorth(m),
   );
+  const most = Math.max(MOST_AT_ONCE, input.machines.length * MOST_PART);
   sparse.sort((a, b) => Number(a.spot) - Number(b.spot) || used(a) - used(b));
   const taking = input.machines.filter((m) => m.tasks.length > 0);
   taking.sort((a, b) => Number(b.spot) - Number(a.spot) || used(b) - used(a));
   const given = new Set<string>();
   const chosen: { machine: string; tasks: string[] }[] = [];
   for (const m of sparse) {
-    if (chosen.length >= MOST_AT_ONCE) break;
-    if (given.has(m.id) || m.type.cpus > spare) continue;
+    if (chosen.length >= most) break;
+    const movable = toMove(m);
+    // Its own room goes, and so does what its tasks take elsewhere.
+    const room = movable.reduce((sum, { job }) => sum + job.cpus, m.free.cpus);
+    if (given.has(m.id) || room > spare) continue;
     const moves: { key: string; to: Resources; toId: string; needs: Resources }[] = [];
-    const movable = m.tasks.filter((t) => t.canSave && t.remainingS > SOON_S);
     for (const { key, job } of movable) {
       // Only to cheaper machines, or to ones that are no emptier.
       const to = taking.find((o) => {
@@ -62,16 +66,16 @@
         const better = o.spot === m.spot ? used(o) >= used(m) : o.spot;
         return o.id !== m.id && better && room && fits(job, room) && mayUse(job, o);
       });
-      const room = to && rooms.get(to.id);
-      if (!to || !room) break;
-      take(room, job, 1);
-      moves.push({ key, to: room, toId: to.id, needs: job });
+      const taken = to && rooms.get(to.id);
+      if (!to || !taken) break;
+      take(taken, job, 1);
+      moves.push({ key, to: taken, toId: to.id, needs: job });
     }
     if (moves.length < movable.length) {
       for (const { to, needs } of moves) take(to, needs, -1);
       continue;
     }
-    spare -= m.type.cpus;
+    spare -= room;
     rooms.delete(m.id);
     for (const { toId } of moves) given.add(toId);
     chosen.push({ machine: m.id, tasks: moves.map(({ key }) => key) });
@@ -85,16 +89,29 @@
   room.memoryGb -= sign * needs.memoryGb;
 }
 
+/** Whether the task may be sent elsewhere: where some jobs' tasks may be is bound to where their others are. */
+function isMovable({ job, canSave }: MovableTask): boolean {
+  return canSave && !job.oneZone && !job.spread;
+}
+
+/** How long the machine is needed for what can't be moved. */
+function boundS(m: SparseMachine): number {
+  return Math.max(0, ...m.tasks.filter((t) => !isMovable(t)).map((t) => t.remainingS));
+}
+
+/** What would keep the machine for longer than what can't be moved does. */
+function toMove(m: SparseMachine): MovableTask[] {
+  const bound = boundS(m);
+  return m.tasks.filter((t) => isMovable(t) && t.remainingS > bound);
+}
+
 function isWorth(m: SparseMachine): boolean {
-  let remainingS = 0;
-  let cost = 0;
-  for (const { job, canSave, remainingS: left } of m.tasks) {
-    if (left <= SOON_S) continue;
-    // Where its tasks may be is bound to where their others are: left alone.
-    if (!canSave || job.oneZone || job.spread) return false;
-    remainingS = Math.max(remainingS, left);
-    cost += job.cpus * (job.saveS + job.imageGb / m.type.fetchGbPerS);
-  }
+  const tasks = toMove(m);
+  const gainS = Math.max(0, ...tasks.map((t) => t.remainingS)) - boundS(m);
+  const cost = tasks.reduce(
+    (sum, { job }) => sum + job.cpus * (job.saveS + job.imageGb / m.type.fetchGbPerS),
+    0,
+  );
   const dearness = m.spot ? 1 : m.type.price / m.type.spotPrice;
-  return remainingS >= LEAST_REMAINING_S && m.type.cpus * remainingS * dearness > WORTH * cost;
+  return gainS >= LEAST_GAIN_S && m.type.cpus * gainS * dearness > WORTH * cost;
 }
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -310,6 +310,12 @@
   assert.deepEqual(emptied(machine('sparse', [task(4, { canSave: false })])), []);
   assert.deepEqual(emptied(machine('sparse', [task(4, { remainingS: 5 })])), [], 'it ends by itself soon');
   assert.deepEqual(emptied(machine('sparse', [task(4), task(5)])), [], 'both do not fit');
+  const stays = task(5, { canSave: false, remainingS: 20 });
+  assert.deepEqual(
+    emptied(machine('sparse', [task(4), stays])),
+    [{ machine: 'sparse', tasks: ['saver/4'] }],
+    'it is needed for 20 s instead of 60',
+  );
   assert.deepEqual(emptied(machine('sparse', [task(4)]), 1), [], 'some room is kept');
 });
 
