--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -153,8 +153,6 @@
   placements: Placement[];
   /** What found no room, by job. */
   unplaced: Map<string, number>;
-  /** What its team's limit keeps from running, by job. */
-  capped: Map<string, number>;
   /** Where to go on, when the time ran out; undefined when all had their turn. */
   cursor: number | undefined;
   /** How many machines were looked at, in all. */
@@ -194,7 +192,6 @@
   const use = new Map([...input.use].map(([team, u]) => [team, { ...u }]));
   const placements: Placement[] = [];
   const unplaced = new Map<string, number>();
-  const capped = new Map<string, number>();
   const placedOf = new Map<string, number>();
   const zonesOf = new Map<string, Map<string, number>>();
   const hopeless = new Hopeless();
@@ -204,7 +201,7 @@
   for (let index = input.from; index < input.turns.length; index += 1) {
     const turn = input.turns[index];
     if (!turn) break;
-    if (index > input.from && timeIsUp()) return { placements, unplaced, capped, cursor: index, looks };
+    if (index > input.from && timeIsUp()) return { placements, unplaced, cursor: index, looks };
     const { waiting, kind } = turn;
     const { job } = waiting;
     const limits = input.teams.get(job.team);
@@ -261,15 +258,14 @@
       }
     }
     placedOf.set(job.id, waiting.waiting - left);
-    if (kind !== 'usual' || left === 0) continue;
     // Only work that its team's limit lets run counts as lacking room.
-    const byLimit =
-      limits.cpus_max === 0 ? left : Math.floor((limits.cpus_max - team.cpus + EPSILON) / job.cpus);
-    const lacking = withinLimit(job, team, limits) ? Math.min(left, byLimit) : 0;
-    if (lacking > 0) unplaced.set(job.id, lacking);
-    if (lacking < left) capped.set(job.id, left - lacking);
+    if (kind === 'usual' && left > 0 && withinLimit(job, team, limits)) {
+      const byLimit =
+        limits.cpus_max === 0 ? left : Math.floor((limits.cpus_max - team.cpus + EPSILON) / job.cpus);
+      unplaced.set(job.id, Math.min(left, byLimit));
+    }
   }
-  return { placements, unplaced, capped, cursor: undefined, looks };
+  return { placements, unplaced, cursor: undefined, looks };
 }
 
 /** The machine that is the first to have room for the job, once nothing more is put there. */
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -31,8 +31,6 @@
 export interface PreemptionInput {
   /** Jobs that found no room, in order, and how many tasks each. */
   readonly unplaced: readonly { waiting: WaitingJob; count: number }[];
-  /** Jobs that their team's limit keeps from running, in order, and how many tasks each. */
-  readonly capped: readonly { waiting: WaitingJob; count: number }[];
   readonly machines: readonly CrowdedMachine[];
   readonly teams: ReadonlyMap<string, TeamLimits>;
   readonly use: ReadonlyMap<string, TeamUse>;
@@ -69,32 +67,6 @@
   room.memoryGb -= job.memoryGb;
 }
 
-/** What to stop of a team's own lesser work, so that its more urgent work fits under the team's limit. */
-function underLimit(input: PreemptionInput, stop: (machine: CrowdedMachine, victim: Victim) => void): void {
-  const freeing = new Map<string, number>();
-  for (const { waiting, count } of input.capped) {
-    const { job } = waiting;
-    const rank = PRIORITY_RANK[job.priority];
-    const lesser = input.machines.flatMap((machine) =>
-      machine.tasks
-        .filter((v) => v.job.team === job.team && PRIORITY_RANK[v.job.priority] > rank)
-        .map((victim) => ({ machine, victim })),
-    );
-    // What is being stopped already makes way for the first in order.
-    const already = lesser.reduce((sum, { victim }) => sum + (victim.stopping ? victim.job.cpus : 0), 0);
-    let free = freeing.get(job.team) ?? already;
-    const need = count * job.cpus;
-    lesser.sort((a, b) => a.victim.lossS - b.victim.lossS);
-    for (const { machine, victim } of lesser) {
-      if (free >= need - EPSILON) break;
-      if (victim.stopping) continue;
-      stop(machine, victim);
-      free += victim.job.cpus;
-    }
-    freeing.set(job.team, free - need);
-  }
-}
-
 /**
  * Which running tasks to stop so that waiting ones get room: those of a lower priority, and, for a team short of its
  * guarantee, those that another team runs beyond its own. Nothing else is stopped for room.
@@ -128,12 +100,6 @@
     const owed = useOf(waiting.team).cpus + waiting.cpus <= mine.cpus + EPSILON;
     return owed && useOf(victim.job.team).cpus - victim.job.cpus >= theirs.cpus - EPSILON;
   };
-  underLimit(input, (machine, victim) => {
-    if (stopped.has(victim.key)) return;
-    stopped.set(victim.key, machine.id);
-    const room = rooms.get(machine.id);
-    if (room) add(room, victim.job);
-  });
   const hopeless = new Hopeless();
   const plan = (job: Job, machine: CrowdedMachine): Plan | undefined => {
     looks += 1;
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -30,7 +30,6 @@
 export class Scheduler {
   #cursor = 0;
   #unplaced = new Map<string, number>();
-  #capped = new Map<string, number>();
   #complete = false;
   #completeOnce = false;
   #preemptedAt = -Infinity;
@@ -61,7 +60,6 @@
     const jobs = this.#waitingJobs(now);
     if (jobs.length === 0) {
       this.#unplaced.clear();
-      this.#capped.clear();
       this.#complete = true;
       this.#completeOnce = true;
       this.#cursor = 0;
@@ -78,13 +76,11 @@
     for (const placement of result.placements) this.attempts.issue(placement, now);
     if (from === 0) this.#unplaced = result.unplaced;
     else for (const [job, count] of result.unplaced) this.#unplaced.set(job, count);
-    if (from === 0) this.#capped = result.capped;
-    else for (const [job, count] of result.capped) this.#capped.set(job, count);
     this.#cursor = result.cursor ?? 0;
     this.#complete = result.cursor === undefined;
     if (!this.#complete) return true;
     this.#completeOnce = true;
-    if (this.#unplaced.size + this.#capped.size > 0 && now - this.#preemptedAt >= PREEMPT_EVERY_MS) {
+    if (this.#unplaced.size > 0 && now - this.#preemptedAt >= PREEMPT_EVERY_MS) {
       this.#preemptedAt = now;
       this.#preempt(turns, now, timeIsUp);
     }
@@ -158,13 +154,11 @@
   }
 
   #preempt(turns: readonly Turn[], now: number, timeIsUp: () => boolean): void {
-    const among = (counts: ReadonlyMap<string, number>): { waiting: WaitingJob; count: number }[] =>
-      turns.flatMap(({ waiting, kind }) => {
-        const count = counts.get(waiting.job.id) ?? 0;
-        return kind === 'usual' && count > 0 ? [{ waiting, count }] : [];
-      });
-    const unplaced = among(this.#unplaced);
-    const capped = among(this.#capped);
+    const unplaced = turns
+      .filter((turn) => turn.kind === 'usual')
+      .map(({ waiting }) => ({ waiting, count: this.#unplaced.get(waiting.job.id) ?? 0 }))
+      .filter(({ count }) => count > 0);
+    if (unplaced.length === 0) return;
     const machines: CrowdedMachine[] = [];
     for (const m of this.block.machines.values()) {
       if (!this.block.usable(m, now)) continue;
@@ -183,10 +177,7 @@
       machines.push({ id, type, zone: record.zone, spot: record.spot, free: m.free(), tasks });
     }
     const use = this.block.use();
-    const { victims } = choosePreemptions(
-      { unplaced, capped, machines, teams: this.block.teams, use },
-      timeIsUp,
-    );
+    const { victims } = choosePreemptions({ unplaced, machines, teams: this.block.teams, use }, timeIsUp);
     for (const { key, machine: id } of victims) {
       const machine = this.block.machines.get(id);
       const attempt = machine?.attempts.get(key);
