--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -1,10 +1,9 @@
-import type { Job } from '../protocol/model';
-import { attemptKey } from '../protocol/model';
+import { attemptKey, type Job } from '../protocol/model';
 import type { Block } from './block';
 import type { Deps } from './deps';
 import type { DispatchTable } from './dispatch-table';
 import { Health } from './health';
-import { attemptNumber, holdsRoom, type Attempt, type Change, type Described, type Machine } from './machine';
+import { attemptNumber, type Attempt, type Change, type Described, type Machine } from './machine';
 import type { Placement } from './placement';
 
 const AVOID_MS = 2_000;
@@ -170,7 +169,7 @@
   runningOf(job: string): number {
     let running = 0;
     for (const [a] of this.block.holdings.ofJob(job)) {
-      if (holdsRoom(a) && (a.phase === 'running' || a.phase === 'saving')) running += 1;
+      if (a.phase === 'running' || a.phase === 'saving') running += 1;
     }
     return running;
   }
