--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -89,14 +89,10 @@
       room: { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb },
       isNew: false,
     }));
-  const longestBootMs = Math.max(0, ...input.types.map((t) => t.bootS)) * 1000;
   let freeing = input.freeingCpus;
   for (const { job, count, urgent, slackMs } of input.unplaced) {
     let left = count;
-    // In a burst the room that running work frees goes to new urgent work. What would miss its deadline by waiting for
-    // it, and can still be in time on a new machine, is not left to it.
-    const inNeed = slackMs > 0 && slackMs < longestBootMs * PATIENCE_IN_BOOTS;
-    if (!urgent && !inNeed) {
+    if (!urgent) {
       const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
       left -= absorbed;
       freeing -= absorbed * job.cpus;
