--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -62,13 +62,15 @@
 const operatorSchema = z.strictObject({
   blocks: z.int().min(1).max(64).default(1),
   block_lease_s: seconds.optional(),
-  round_budget_ms: seconds.default(12),
-  flush_ms: seconds.default(400),
+  round_budget_ms: seconds.default(40),
+  flush_ms: seconds.default(1000),
   missed_reports: z.number().min(1).default(2),
   silent_release_s: seconds.optional(),
   late_boot_factor: z.number().min(1).default(2.5),
   idle_release_s: z.number().min(0).default(8),
   warm_share: z.number().min(0).max(1).default(0.05),
+  aged_s: seconds.default(100),
+  aged_share: z.number().min(0).max(1).default(0.2),
   rent_patience: z.number().min(0).default(2),
 });
 
--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -9,6 +9,8 @@
  */
 export class WatchCache {
   readonly #entries = new Map<string, Entry>();
+  /** The same by the first two parts of the key, as they are asked for. */
+  readonly #kinds = new Map<string, Map<string, Entry>>();
   /** Deletions that a nudge told us of ahead of the watch; a nudge that comes later must not bring the key back. */
   readonly #deletedAt = new Map<string, number>();
   readonly #listeners: ((event: Event) => void)[] = [];
@@ -16,6 +18,7 @@
   /** Deletions after this revision are all remembered. */
   #deletesFrom = Infinity;
   #loaded = false;
+  #openedAt = -Infinity;
   freshAt = -Infinity;
 
   constructor(
@@ -24,6 +27,8 @@
     private readonly clock: Clock,
     /** How long a watch waits for news; the copy is never known to be fresher than that. */
     private readonly holdMs: number,
+    /** Least time between two watches; nudges are quicker. */
+    private readonly paceMs: number,
   ) {}
 
   get loaded(): boolean {
@@ -46,8 +51,16 @@
     return this.#entries.get(key)?.version ?? 0;
   }
 
-  *under(prefix: string): Generator<Entry> {
-    for (const entry of this.#entries.values()) if (entry.key.startsWith(prefix)) yield entry;
+  /** All entries of a kind; the prefix is two parts of a key, as `PREFIX` names them. */
+  under(prefix: string): Iterable<Entry> {
+    return this.#kinds.get(prefix)?.values() ?? [];
+  }
+
+  #kind(key: string): Map<string, Entry> {
+    const prefix = key.slice(0, key.indexOf('/', this.prefix.length) + 1);
+    const kind = this.#kinds.get(prefix) ?? new Map<string, Entry>();
+    this.#kinds.set(prefix, kind);
+    return kind;
   }
 
   /** Deletions under a prefix after a revision, or undefined when not all of them are remembered. */
@@ -64,7 +77,11 @@
       await this.#load();
       return;
     }
+    // A watch ends with the next change of anything. Opened again at once, with hundreds of changes a second, all
+    // watches together would use up the limit on requests.
+    await this.clock.sleep(this.#openedAt + this.paceMs - this.clock.now());
     const sentAt = this.clock.now();
+    this.#openedAt = sentAt;
     const news = await this.store.changes(this.prefix, this.#revision, this.holdMs);
     if (!news) {
       this.#loaded = false;
@@ -121,8 +138,11 @@
       this.#deletedAt.set(event.key, event.version);
       if (!held) return;
       this.#entries.delete(event.key);
+      this.#kind(event.key).delete(event.key);
     } else {
-      this.#entries.set(event.key, { key: event.key, value: event.value, version: event.version });
+      const entry = { key: event.key, value: event.value, version: event.version };
+      this.#entries.set(event.key, entry);
+      this.#kind(event.key).set(event.key, entry);
     }
     for (const listener of this.#listeners) listener(event);
   }
--- /dev/null
+++ b/src/coordination/block.ts
@@ -0,0 +1,153 @@
+import { KEY, PREFIX, read, type MachineRecord } from '../bookkeeping/records';
+import type { Guard } from '../protocol/state';
+import type { Deps } from './deps';
+import { DispatchTable } from './dispatch-table';
+import { Estimates } from './estimates';
+import { Holdings } from './holdings';
+import { holdsRoom, Machine } from './machine';
+import type { TeamLimits, TeamUse } from './placement';
+
+/** What a block's owner knows: jobs with their tables, machines with what they hold, and its right to act. */
+export class Block {
+  readonly machines = new Map<string, Machine>();
+  readonly tables = new Map<string, DispatchTable>();
+  readonly holdings = new Holdings();
+  readonly estimates = new Estimates();
+  readonly teams: ReadonlyMap<string, TeamLimits>;
+  /** Machines that an earlier owner's starts may still reach: no message of theirs has shown our token. */
+  readonly unsettled = new Set<Machine>();
+  readonly timing: { readonly missedMs: number; readonly silentReleaseMs: number; readonly leaseMs: number };
+  stopped = false;
+  #counter = 0;
+
+  constructor(
+    readonly number: number,
+    teams: readonly string[],
+    public token: number,
+    public leaseVersion: number,
+    readonly takenRevision: number,
+    private readonly deps: Deps,
+    /** Work for a round. */
+    readonly wake: () => void,
+  ) {
+    const { operator, platform } = deps.settings;
+    const { report_s, lease_s } = platform.deployment.workers;
+    this.teams = new Map(
+      platform.deployment.teams.filter((t) => teams.includes(t.name)).map((t) => [t.name, t]),
+    );
+    this.timing = {
+      // A report may come a quarter late, and takes a while to get here.
+      missedMs: operator.missed_reports * report_s * 1250 + 300,
+      silentReleaseMs: (operator.silent_release_s ?? Math.max(4, 4 * report_s)) * 1000,
+      leaseMs: lease_s * 1000,
+    };
+    for (const entry of deps.cache.under(PREFIX.job)) this.loadJob(entry.value, entry.version);
+    for (const entry of deps.cache.under(PREFIX.done)) this.#loadDone(entry.key, entry.value, entry.version);
+    for (const entry of deps.cache.under(PREFIX.machine)) this.loadMachine(entry.key, entry.value);
+  }
+
+  /** Whether we may act for the block at this very moment. */
+  get entitled(): boolean {
+    return !this.stopped && this.deps.session.valid;
+  }
+
+  leaseGuard(): Guard {
+    return { key: KEY.lease(this.number), version: this.leaseVersion };
+  }
+
+  loadJob(value: unknown, version: number): void {
+    const record = read.job(value);
+    if (!record || !this.teams.has(record.job.team) || this.tables.has(record.job.id)) return;
+    this.tables.set(record.job.id, new DispatchTable(record, version));
+  }
+
+  #loadDone(key: string, value: unknown, version: number): void {
+    const [id, chunk] = key.slice(PREFIX.done.length).split('/');
+    const bits = read.done(value)?.bits;
+    const table = this.tables.get(id ?? '');
+    if (bits !== undefined) table?.mergeRecorded(Number(chunk), bits, version);
+  }
+
+  loadMachine(key: string, value: unknown): void {
+    const id = key.slice(PREFIX.machine.length);
+    if (this.machines.has(id)) return;
+    const record = read.machine(value);
+    if (record?.block === this.number) this.#addMachine(id, record);
+  }
+
+  #addMachine(id: string, record: MachineRecord): void {
+    const type = this.deps.types().find((t) => t.name === record.type);
+    if (!type) return;
+    const now = this.deps.clock.now();
+    const ageMs = Math.max(0, this.deps.clock.date().getTime() - record.rentedAt);
+    const machine = new Machine(id, record, type, now, now - ageMs, this.holdings);
+    this.machines.set(id, machine);
+    if (!machine.settled) this.unsettled.add(machine);
+  }
+
+  settle(machine: Machine): void {
+    machine.settled = true;
+    this.unsettled.delete(machine);
+  }
+
+  nextCounter(): number {
+    this.#counter += 1;
+    return this.#counter;
+  }
+
+  /** Every machine of the block is known: it showed our token, or its lease from before has run out. */
+  get allKnown(): boolean {
+    return this.unsettled.size === 0 && this.holdings.nameless === 0;
+  }
+
+  #isKnown(machine: Machine): boolean {
+    if (!machine.settled) return false;
+    // A task of a job that is over, found after a takeover: whose limit it fills is not known until it is gone.
+    for (const attempt of machine.attempts.values())
+      if (attempt.team === '' && holdsRoom(attempt)) return false;
+    return true;
+  }
+
+  usable(machine: Machine, now: number): boolean {
+    return machine.mayStart(now, this.timing.leaseMs, this.timing.missedMs);
+  }
+
+  /** What each team's tasks use, or may use: from before a start leaves until the attempt is known gone. */
+  use(): Map<string, TeamUse> {
+    const use = this.holdings.use();
+    if (this.allKnown) return use;
+    // What can't be seen yet may all belong to any one team.
+    const machines = this.holdings.nameless > 0 ? this.machines.values() : this.unsettled;
+    let cpus = 0;
+    let gpus = 0;
+    for (const machine of machines) {
+      if (this.#isKnown(machine)) continue;
+      cpus += machine.type.cpus;
+      gpus += machine.type.gpus;
+    }
+    for (const name of this.teams.keys()) {
+      const team = use.get(name) ?? { cpus: 0, gpus: 0 };
+      use.set(name, { cpus: team.cpus + cpus, gpus: team.gpus + gpus });
+    }
+    return use;
+  }
+
+  /** When a job should be done, on the time-of-day clock: its deadline, or what the aims say of its class. */
+  #dueAt(table: DispatchTable): number {
+    const { job } = table;
+    if (job.deadlineS !== null) return table.submittedAt + job.deadlineS * 1000;
+    const { objectives } = this.deps.settings.platform.deployment;
+    const within = objectives.find((o) => o.kind === 'finished' && o.class === job.jobClass)?.within_s;
+    return table.submittedAt + (within ?? 4 * this.estimates.runS(job)) * 1000;
+  }
+
+  /** How long the job's tasks can still wait and be in time, as far as estimates tell. */
+  slackMs(table: DispatchTable): number {
+    return this.#dueAt(table) - this.estimates.runS(table.job) * 1000 - this.deps.clock.date().getTime();
+  }
+
+  /** How long since the job was submitted. */
+  ageMs(table: DispatchTable): number {
+    return this.deps.clock.date().getTime() - table.submittedAt;
+  }
+}
--- /dev/null
+++ b/src/coordination/commander.ts
@@ -0,0 +1,175 @@
+import { describe } from '../base/loop';
+import type { Order, Report } from '../protocol/model';
+import type { Attempts } from './attempts';
+import type { Block } from './block';
+import { sendCommand, type CommandResult } from './commands';
+import type { Deps } from './deps';
+import { issueToken, type Attempt, type Machine } from './machine';
+
+const MAX_ORDERS = 200;
+const AVOID_MS = 2_000;
+/** Between two questions to a machine that has not shown our token, or that hears nothing. */
+const ASK_EVERY_MS = 1_000;
+/** Part of this process's sockets that commands may use at once. */
+const SOCKETS_PART = 1 / 8;
+
+/** Sends each worker the difference between what is wanted of it and what is on it. */
+export class Commander {
+  /** Machines with something to be ordered, in the order in which they came to have it. */
+  readonly #due = new Set<Machine>();
+  readonly #out = new Set<Machine>();
+  /** Machines that hear nothing, as far as we can tell. */
+  readonly #deaf = new Set<Machine>();
+  readonly #mostOut: number;
+
+  constructor(
+    private readonly block: Block,
+    private readonly attempts: () => Attempts,
+    private readonly deps: Deps,
+    private readonly absorb: (machine: Machine, report: Report) => void,
+  ) {
+    const { fd_limit } = deps.settings.platform.deployment.quota;
+    this.#mostOut = Math.max(4, Math.floor(fd_limit * SOCKETS_PART));
+  }
+
+  /** The machine is to be sent its orders at the end of the round. */
+  due(machine: Machine): void {
+    this.#due.add(machine);
+  }
+
+  forget(machine: Machine): void {
+    this.#due.delete(machine);
+    this.#deaf.delete(machine);
+  }
+
+  /** Sends what is due, as far as sockets allow; the rest goes out as answers come in. */
+  flush(): void {
+    for (const machine of this.#due) {
+      if (this.#out.size >= this.#mostOut || !this.block.entitled) return;
+      if (this.#out.has(machine)) continue;
+      this.#due.delete(machine);
+      this.#command(machine, false);
+    }
+  }
+
+  /**
+   * Asks machines directly that have not shown our token yet, for their reports may be on their way elsewhere, and
+   * those that seem to hear nothing. All at once would take a socket each: the longest unasked go first.
+   */
+  ask(now: number): void {
+    const silent = [...this.block.unsettled].filter((m) => m.up);
+    for (const machine of [...silent, ...this.#deaf].sort((a, b) => a.probedAt - b.probedAt)) {
+      if (this.#out.size >= this.#mostOut) return;
+      if (now - machine.probedAt < ASK_EVERY_MS || this.#out.has(machine)) continue;
+      machine.probedAt = now;
+      this.#command(machine, true);
+    }
+  }
+
+  /** What is wanted of the machine. Starts go by command only: a command's answer tells what became of them. */
+  orders(machine: Machine, withStarts: boolean): Order[] {
+    const orders: Order[] = [];
+    for (const attempt of machine.attempts.values()) {
+      if (orders.length >= MAX_ORDERS) break;
+      const { job, task, attempt: number } = attempt;
+      if (attempt.phase === 'exited') {
+        const table = this.block.tables.get(job);
+        // A completion is forgotten only once it is recorded: until then the worker is who remembers it.
+        const settled = attempt.cause !== 'done' || !table || table.recorded.has(task);
+        if (settled && machine.mayForget(attempt)) orders.push({ op: 'forget', job, task, attempt: number });
+      } else if (attempt.stop) {
+        const saving = attempt.phase === 'saving' && attempt.stop.graceS > 0;
+        if (attempt.posted && !saving) {
+          orders.push({ op: 'stop', job, task, attempt: number, graceS: attempt.stop.graceS });
+        }
+      } else if (withStarts && !attempt.posted) {
+        orders.push({ op: 'start', job, task, attempt: number });
+      }
+    }
+    return orders;
+  }
+
+  /** Sends the difference straight to the worker; with `asks` also when there is none, to hear from it. */
+  #command(machine: Machine, asks: boolean): void {
+    if (machine.record.address === '' || machine.gone || !this.block.entitled) return;
+    const unsent = [...machine.attempts.values()].filter((a) => !a.posted);
+    for (const attempt of unsent) {
+      // A start that has not left and is no longer wanted never will. Nor will one that was numbered under an
+      // earlier token: its number must name the token that it is sent with, for that is what ends all doubt about it.
+      if (attempt.stop || issueToken(attempt.attempt) !== this.block.token)
+        this.attempts().neverStarted(machine, attempt.key);
+    }
+    // What is asked of a machine that hears nothing holds no starts: they would be stuck there.
+    const orders = this.orders(machine, machine.deafSince === undefined);
+    if (orders.length === 0 && !asks) return;
+    const starts = orders.filter((o) => o.op === 'start').length;
+    const sent = unsent.filter((a) => machine.attempts.has(a.key)).slice(0, starts);
+    for (const attempt of sent) {
+      attempt.posted = true;
+      attempt.inFlight = true;
+    }
+    this.#out.add(machine);
+    const session = machine.session > 0 ? machine.session : machine.sessionHint;
+    void sendCommand(this.deps.workers, machine.record.address, this.block.token, session, orders)
+      .then((result) => {
+        this.#out.delete(machine);
+        if (this.block.machines.get(machine.id) === machine && !machine.gone) {
+          this.#answered(machine, session, sent, result);
+        }
+        this.flush();
+      })
+      .catch((error: unknown) => {
+        this.deps.log.error({ machine: machine.id, err: describe(error) }, 'a command failed');
+      });
+  }
+
+  #answered(machine: Machine, session: number, sent: readonly Attempt[], result: CommandResult): void {
+    for (const attempt of sent) attempt.inFlight = false;
+    const now = this.deps.clock.now();
+    if (result.kind === 'done' || result.kind === 'refused') {
+      this.#hears(machine);
+      if (result.report) this.absorb(machine, result.report);
+    }
+    if (result.kind === 'refused' || result.kind === 'not sent') {
+      for (const attempt of sent) this.attempts().neverStarted(machine, attempt.key);
+      machine.avoidUntil = now + (result.kind === 'refused' ? 0 : AVOID_MS);
+    }
+    if (result.kind === 'unknown' || result.kind === 'not sent') {
+      this.deps.log.debug({ machine: machine.id, result: result.kind }, 'command unanswered');
+      if (result.kind === 'unknown') {
+        machine.avoidUntil = now + AVOID_MS;
+        this.#deafens(machine);
+      }
+      // What was placed here meanwhile goes elsewhere: the machine may be hanging.
+      for (const attempt of [...machine.attempts.values()])
+        if (!attempt.posted) this.attempts().neverStarted(machine, attempt.key);
+      this.block.wake();
+      return;
+    }
+    // The first command to a machine whose session we did not know yet is refused; the answer tells it.
+    const again = !machine.settled && machine.session !== session;
+    // One that refuses us for another reason is asked again at the pace of rounds.
+    if (again || result.kind === 'done') this.#command(machine, again);
+    else this.due(machine);
+  }
+
+  /**
+   * Commands to it go unanswered, or its lease ran out though we answered its reports: until one is answered, no
+   * start leaves for it, whatever it reports.
+   */
+  #deafens(machine: Machine): void {
+    machine.deafSince ??= this.deps.clock.now();
+    machine.probedAt = this.deps.clock.now();
+    this.#deaf.add(machine);
+  }
+
+  #hears(machine: Machine): void {
+    machine.deafSince = undefined;
+    this.#deaf.delete(machine);
+  }
+
+  /** After a report: whether its session says that our answers don't reach it. */
+  checkHearing(machine: Machine): void {
+    if (machine.deafSince !== undefined && !this.#deaf.has(machine)) this.#deafens(machine);
+  }
+}
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/dispatch-table.ts
@@ -28,6 +28,8 @@
   readonly issued = new Map<number, { machine: string; key: string }>();
   readonly errorMachines = new Set<string>();
   retryAt = 0;
+  /** When its completions were last written, or were to be. */
+  recordedAt = -Infinity;
   #errorsInRow = 0;
   #unassigned: number;
   /** No task below this one is unassigned. */
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -1,7 +1,8 @@
-import { KEY } from '../bookkeeping/records';
-import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
-import type { Change as StateChange, Guard } from '../protocol/state';
+import { Wake } from '../base/clock';
 import { describe } from '../base/loop';
+import { KEY, type MachineRecord } from '../bookkeeping/records';
+import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
+import type { Guard } from '../protocol/state';
 import type { Deps } from './deps';
 import { optionKey, planFleet, type FleetInput, type RentOption, type Rental } from './fleet';
 import type { Machine } from './machine';
@@ -22,17 +23,24 @@
 const REFUSED_MS = 12_000;
 const RENT_TRIES = 6;
 const RETRY_MS = 1_500;
+/** Few enough that a small limit on changes lets other writes go in between. */
+const RECORDS_AT_ONCE = 8;
 
 /** Rents and returns the block's machines. */
 export class FleetManager {
   readonly #refusedUntil = new Map<string, number>();
+  /** Rented machines that the state service does not know yet. */
+  readonly #unrecorded = new Map<string, RentOption & { rentedAt: number }>();
+  readonly #recordWake: Wake;
   /** Returned machines whose records could not be deleted yet. */
   readonly #gone = new Set<string>();
 
   constructor(
     private readonly fleet: Fleet,
     private readonly deps: Deps,
-  ) {}
+  ) {
+    this.#recordWake = new Wake(deps.clock);
+  }
 
   /** One step of returning; to be run in a loop of its own, so that a cloud that won't take back can still rent. */
   async returnStep(signal: AbortSignal): Promise<void> {
@@ -49,7 +57,10 @@
     const now = this.deps.clock.now();
     const input = this.fleet.fleetInput((option) => (this.#refusedUntil.get(optionKey(option)) ?? 0) > now);
     if (!input) return;
-    const plan = planFleet(input);
+    const unrecorded = [...this.#unrecorded].map(([id, { type, zone, spot }]) => {
+      return { ...{ id, type, zone, spot }, ...{ booting: true, ageMs: 0, idleMs: 0 } };
+    });
+    const plan = planFleet({ ...input, machines: [...input.machines, ...unrecorded] });
     for (const id of plan.release) {
       const machine = this.fleet.machines.get(id);
       if (machine) machine.leaving ??= 'idle';
@@ -90,69 +101,78 @@
     }
   }
 
+  /** Rents in calls as large as the cloud takes, until it has no more. */
   async #rent(rental: Rental, signal: AbortSignal): Promise<void> {
+    let left = rental.count;
+    while (left > 0 && !signal.aborted && this.fleet.entitled) {
+      const count = Math.min(left, MAX_RENT);
+      const rented = await this.#rentOnce(rental, count, signal);
+      if (rented < count) {
+        this.#refuse(rental);
+        return;
+      }
+      left -= count;
+    }
+  }
+
+  async #rentOnce(rental: Rental, count: number, signal: AbortSignal): Promise<number> {
     // The name is random and never used again; a repeat under it can't rent twice.
     const request = {
       name: this.deps.random.uniqueName(),
       type: rental.type.name,
       zone: rental.zone,
       spot: rental.spot,
-      count: Math.min(rental.count, MAX_RENT),
+      count,
     };
     for (let attempt = 1; attempt <= RENT_TRIES && !signal.aborted && this.fleet.entitled; attempt += 1) {
       try {
         const ids = await this.deps.cloud.rent(request);
         this.deps.log.info({ ...request, ids }, 'machines rented');
-        if (ids.length < request.count) this.#refuse(rental);
-        await this.#record(ids, rental);
-        return;
+        const rentedAt = this.deps.clock.date().getTime();
+        for (const id of ids) this.#unrecorded.set(id, { ...rental, rentedAt });
+        this.#recordWake.wake();
+        return ids.length;
       } catch (error) {
-        if (error instanceof CloudRefused && error.noCapacity) {
-          this.#refuse(rental);
-          return;
-        }
+        if (error instanceof CloudRefused && error.noCapacity) return 0;
         this.deps.log.info({ ...request, attempt, err: describe(error) }, 'a rental was not answered');
         await this.deps.clock.sleep(RETRY_MS, signal);
       }
     }
     // Given up: if it was carried out, or is later, its machines turn up in the list and are taken in there.
-    this.#refuse(rental);
+    return 0;
   }
 
   #refuse(option: RentOption): void {
     this.#refusedUntil.set(optionKey(option), this.deps.clock.now() + REFUSED_MS);
   }
 
-  async #record(ids: readonly string[], rental: Rental): Promise<void> {
-    const { txn_ops } = this.deps.settings.platform.deployment.state;
-    for (let from = 0; from < ids.length; from += txn_ops) {
-      const changes: StateChange[] = ids.slice(from, from + txn_ops).map((id) => ({
+  /**
+   * One step of recording what was rented; to be run in a loop of its own, for a fleet of hundreds takes longer to
+   * write down, inside the limit on changes, than to rent, and what users ask for goes in between.
+   */
+  async recordStep(signal: AbortSignal): Promise<void> {
+    await this.#recordWake.wait(1000);
+    while (this.#unrecorded.size > 0 && !signal.aborted && this.fleet.entitled) {
+      const batch = [...this.#unrecorded].slice(0, RECORDS_AT_ONCE);
+      const changes = batch.map(([id, { type, zone, spot, rentedAt }]) => ({
         put: KEY.machine(id),
         value: {
-          block: this.fleet.block,
-          address: '',
-          type: rental.type.name,
-          zone: rental.zone,
-          spot: rental.spot,
-          up: false,
-          rentedAt: this.deps.clock.date().getTime(),
-        },
+          ...{ block: this.fleet.block, address: '', type: type.name, zone, spot, up: false },
+          rentedAt,
+        } satisfies MachineRecord,
       }));
-      const guards = [
-        this.fleet.leaseGuard(),
-        ...changes.flatMap((c) => ('put' in c ? [{ key: c.put, version: 0 }] : [])),
-      ];
-      const result = await this.deps.store.txn(guards, changes);
-      if (!result.ok) continue;
-      for (const change of changes) {
-        if ('put' in change) {
-          this.deps.announce({
-            key: change.put,
-            version: result.revision,
-            value: change.value,
-            deleted: false,
-          });
-        }
+      const guards = changes.map((c) => ({ key: c.put, version: 0 }));
+      const result = await this.deps.store.txn([this.fleet.leaseGuard(), ...guards], changes);
+      for (const [id] of batch) {
+        // One that has a record already was taken in as a stray; the others are tried again.
+        if (result.ok || result.failed.includes(KEY.machine(id))) this.#unrecorded.delete(id);
+      }
+      if (!result.ok) {
+        await this.deps.clock.sleep(PAUSE_MS, signal);
+        continue;
+      }
+      for (const { put, value } of changes) {
+        this.deps.announce({ key: put, version: result.revision, value, deleted: false });
       }
     }
   }
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -97,8 +97,15 @@
       left -= absorbed;
       freeing -= absorbed * job.cpus;
     }
+    // Room only shrinks: a machine that had none for the last task of a job has none for its next.
+    let at = 0;
     while (left > 0) {
-      let bin = bins.find((b) => mayUse(job, b.option) && fits(job, b.room));
+      while (at < bins.length) {
+        const b = bins[at];
+        if (b && mayUse(job, b.option) && fits(job, b.room)) break;
+        at += 1;
+      }
+      let bin = bins[at];
       if (!bin) {
         const option = cheapest(job, left, slackMs, options, input.refused, perZone);
         if (!option) break;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -38,13 +38,12 @@
   }
 
   async #assign(): Promise<void> {
-    const { cache, store, settings, log } = this.deps;
+    const { cache, settings } = this.deps;
     const nodes = [...cache.under(PREFIX.node)]
       .sort((a, b) => a.version - b.version)
       .map((e) => e.key.slice(PREFIX.node.length));
     if (nodes.length === 0) return;
     const { blocks } = settings.operator;
-    const { teams } = settings.platform.deployment;
     const load = new Map(nodes.map((n) => [n, 0]));
     const orphans: number[] = [];
     for (let block = 0; block < blocks; block += 1) {
@@ -56,24 +55,45 @@
     for (const block of orphans) {
       const [owner] = [...load].sort((a, b) => a[1] - b[1])[0] ?? [];
       if (owner === undefined) return;
-      const value: BlockRecord = {
-        owner,
-        teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
-      };
-      const key = KEY.block(block);
-      const result = await store.txn(
-        [
-          { key, version: cache.version(key) },
-          { key: KEY.leader, version: cache.version(KEY.leader) },
-        ],
-        [{ put: key, value }],
-        true,
-      );
-      if (!result.ok) return;
+      if (!(await this.#give(block, owner))) return;
       load.set(owner, (load.get(owner) ?? 0) + 1);
-      log.info({ block, owner }, 'block assigned');
-      this.deps.announce({ key, version: result.revision, value, deleted: false });
     }
+    await this.#balance(load);
+  }
+
+  /** After a death some node has more blocks than another that came back: one at a time, they are spread again. */
+  async #balance(load: ReadonlyMap<string, number>): Promise<void> {
+    const sorted = [...load].sort((a, b) => a[1] - b[1]);
+    const [least, most] = [sorted[0], sorted.at(-1)];
+    if (!least || !most || most[1] - least[1] < 2) return;
+    for (let block = 0; block < this.deps.settings.operator.blocks; block += 1) {
+      if (read.block(this.deps.cache.get(KEY.block(block))?.value)?.owner !== most[0]) continue;
+      await this.#give(block, least[0]);
+      return;
+    }
+  }
+
+  async #give(block: number, owner: string): Promise<boolean> {
+    const { cache, store, settings, log } = this.deps;
+    const { teams } = settings.platform.deployment;
+    const { blocks } = settings.operator;
+    const value: BlockRecord = {
+      owner,
+      teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
+    };
+    const key = KEY.block(block);
+    const result = await store.txn(
+      [
+        { key, version: cache.version(key) },
+        { key: KEY.leader, version: cache.version(KEY.leader) },
+      ],
+      [{ put: key, value }],
+      true,
+    );
+    if (!result.ok) return false;
+    log.info({ block, owner }, 'block assigned');
+    this.deps.announce({ key, version: result.revision, value, deleted: false });
+    return true;
   }
 
   /** A rental whose answer was lost, or that was carried out late, shows up here only. */
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -16,6 +16,9 @@
   readonly needs: Resources;
   readonly team: string;
   readonly image: string;
+  readonly imageGb: number;
+  /** It was given room out of turn because its job had waited too long; nothing is to stop it for others. */
+  readonly aged: boolean;
   phase: Phase;
   cause: ExitCause | null;
   saved: boolean;
@@ -54,9 +57,26 @@
   return attempt.runningSince === undefined ? 0 : (now - attempt.runningSince) / 1000;
 }
 
+/** Told of every attempt that comes to hold room on a machine, and of every one that no longer does. */
+export interface RoomWatcher {
+  took(machine: Machine, attempt: Attempt): void;
+  freed(machine: Machine, attempt: Attempt): void;
+}
+
+/** What is known of a job whose attempt a worker reports. */
+export interface Described {
+  needs: Resources;
+  team: string;
+  image: string;
+  imageGb: number;
+}
+
 /** One machine as its block's owner knows it: what is on it, or may be. */
 export class Machine {
-  readonly attempts = new Map<string, Attempt>();
+  readonly #attempts = new Map<string, Attempt>();
+  /** Sums over the attempts that hold room, kept up to date: rounds ask for them for every machine. */
+  readonly #used: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
+  #holding = 0;
   session = 0;
   sequence = -1;
   tokenSeen = 0;
@@ -64,6 +84,17 @@
   heardAt: number | undefined;
   /** The worker's lease can't have begun later: no report sent after this was answered, and no session is younger. */
   answeredAt: number;
+  /**
+   * The last answer to a report that was news. An answer to a late copy reaches nobody, so it may not count for the
+   * worker's life; it does count, in `answeredAt`, for how long its tasks may live.
+   */
+  renewedAt: number;
+  /** Since when it has shown no sign of hearing us, though its reports may arrive. */
+  deafSince: number | undefined;
+  /** The session that an unproven report named: good enough to address a question, and for nothing else. */
+  sessionHint = 0;
+  /** How many reports came since the takeover that may have been copies from before it. */
+  unproven = 0;
   /** Since when this owner knows it. */
   readonly firstSeenAt: number;
   probedAt = -Infinity;
@@ -73,7 +104,7 @@
   commandOut = false;
   up: boolean;
   idleSince: number;
-  /** Images that it should hold, by last use; bounded by the type's cache. */
+  /** Images that it should hold, least recently used first, and their sizes; bounded by the type's cache. */
   readonly images = new Map<string, number>();
   /** Jobs whose tasks failed here since the last success. */
   readonly errorJobs = new Set<string>();
@@ -82,6 +113,8 @@
   /** Not to be used any more; released as soon as it may be. */
   leaving: string | undefined;
   releasing = false;
+  /** The cloud confirmed its end: late copies of its reports must bring nothing back. */
+  gone = false;
   /** No starts before this time, after a start that was refused or could not be delivered. */
   avoidUntil = 0;
 
@@ -92,8 +125,10 @@
     /** When the previous owner can last have answered it. */
     takenAt: number,
     readonly knownSince: number,
+    private readonly watcher?: RoomWatcher,
   ) {
     this.answeredAt = takenAt;
+    this.renewedAt = takenAt;
     this.firstSeenAt = takenAt;
     this.up = record.up;
     this.idleSince = takenAt;
@@ -114,28 +149,77 @@
       this.leaving === undefined &&
       !this.sick &&
       now >= this.avoidUntil &&
+      // Its reports may arrive while nothing reaches it: what is issued there would be stuck until its lease ends.
+      this.deafSince === undefined &&
       // An answer to a command shows that the worker is there, but only an answered report renews its lease. What is
       // issued to a worker whose lease has run out by our count would be dropped at once, though it starts.
-      now < this.deadAt(leaseMs) &&
+      now < this.renewedAt + leaseMs &&
       this.heardAt !== undefined &&
       now - this.heardAt <= missedMs
     );
   }
 
+  get attempts(): ReadonlyMap<string, Attempt> {
+    return this.#attempts;
+  }
+
   free(): Resources {
-    const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
-    for (const attempt of this.attempts.values()) {
-      if (!holdsRoom(attempt)) continue;
-      free.cpus -= attempt.needs.cpus;
-      free.gpus -= attempt.needs.gpus;
-      free.memoryGb -= attempt.needs.memoryGb;
-    }
-    return free;
+    return {
+      cpus: this.type.cpus - this.#used.cpus,
+      gpus: this.type.gpus - this.#used.gpus,
+      memoryGb: this.type.memoryGb - this.#used.memoryGb,
+    };
+  }
+
+  get freeCpus(): number {
+    return this.type.cpus - this.#used.cpus;
   }
 
   get busy(): boolean {
-    for (const attempt of this.attempts.values()) if (holdsRoom(attempt)) return true;
-    return false;
+    return this.#holding > 0;
+  }
+
+  /** Puts an attempt on the machine: issued by us, or found in a report. */
+  put(attempt: Attempt): void {
+    this.#attempts.set(attempt.key, attempt);
+    if (holdsRoom(attempt)) this.#take(attempt);
+  }
+
+  useImage(image: string, gb: number): void {
+    this.images.delete(image);
+    this.images.set(image, gb);
+    let total = 0;
+    for (const size of this.images.values()) total += size;
+    for (const [oldest, size] of this.images) {
+      if (total <= this.type.cacheGb || oldest === image) break;
+      this.images.delete(oldest);
+      total -= size;
+    }
+  }
+
+  #take(attempt: Attempt): void {
+    this.#holding += 1;
+    this.#used.cpus += attempt.needs.cpus;
+    this.#used.gpus += attempt.needs.gpus;
+    this.#used.memoryGb += attempt.needs.memoryGb;
+    this.watcher?.took(this, attempt);
+  }
+
+  #give(attempt: Attempt): void {
+    this.#holding -= 1;
+    this.#used.cpus -= attempt.needs.cpus;
+    this.#used.gpus -= attempt.needs.gpus;
+    this.#used.memoryGb -= attempt.needs.memoryGb;
+    // Sums of decimals drift; an empty machine is empty.
+    if (this.#holding === 0) Object.assign(this.#used, { cpus: 0, gpus: 0, memoryGb: 0 });
+    this.watcher?.freed(this, attempt);
+  }
+
+  #enter(attempt: Attempt, phase: Phase): void {
+    const held = holdsRoom(attempt);
+    attempt.phase = phase;
+    if (held && !holdsRoom(attempt)) this.#give(attempt);
+    else if (!held && holdsRoom(attempt)) this.#take(attempt);
   }
 
   /** Whether this message is newer than all that we know of the worker. */
@@ -149,20 +233,19 @@
    * Takes over what a message of the worker says. `describe` gives the needs of an attempt that we did not issue.
    * Messages come late and out of order: an old one must change nothing.
    */
-  absorb(
-    report: Report,
-    now: number,
-    describe: (job: string) => { needs: Resources; team: string; image: string },
-  ): Change[] {
+  absorb(report: Report, now: number, leaseMs: number, describe: (job: string) => Described): Change[] {
     if (!this.isNews(report)) return [];
     const changes: Change[] = [];
     if (report.session > this.session) {
       // A later session proves that everything of the earlier ones is gone, late commands for them included.
       changes.push(...this.dropAll());
+      // We answered it not long ago, yet its lease ran out: our answers don't reach it.
+      if (this.session > 0 && now - this.renewedAt < leaseMs / 2) this.deafSince ??= now;
       this.session = report.session;
       // A session has a full lease from its beginning, which may be as late as now, though no report of it was ever
       // answered: counted from an earlier answer, its tasks would be taken for dead while they run.
       this.answeredAt = Math.max(this.answeredAt, now);
+      this.renewedAt = now;
       this.images.clear();
     }
     this.sequence = report.sequence;
@@ -178,39 +261,32 @@
     for (const r of report.attempts) {
       const key = attemptKey(r.job, r.task, r.attempt);
       reported.add(key);
-      let attempt = this.attempts.get(key);
+      let attempt = this.#attempts.get(key);
       if (!attempt) {
         const { job, task } = r;
         attempt = {
-          ...{
-            key,
-            job,
-            task,
-            attempt: r.attempt,
-            ...describe(job),
-            phase: 'sent',
-            cause: null,
-            saved: false,
-          },
-          ...{ sentAt: now, runningSince: undefined, posted: true, inFlight: false },
-          stop: undefined,
+          ...{ key, job, task, attempt: r.attempt, ...describe(job), aged: false },
+          ...{ phase: 'sent', cause: null, saved: false, sentAt: now, runningSince: undefined },
+          ...{ posted: true, inFlight: false, stop: undefined },
         };
-        this.attempts.set(key, attempt);
+        this.put(attempt);
         changes.push({ kind: 'found', attempt });
       }
       if (r.phase === attempt.phase) continue;
-      attempt.phase = r.phase;
+      this.#enter(attempt, r.phase);
       attempt.cause = r.cause;
       attempt.saved = r.saved;
       if (r.phase === 'running' || r.phase === 'saving') {
         attempt.runningSince ??= now;
-        this.images.set(attempt.image, now);
+        this.useImage(attempt.image, attempt.imageGb);
         if (r.phase === 'running') changes.push({ kind: 'running', attempt });
       } else if (r.phase === 'exited') {
         changes.push({ kind: 'exited', attempt });
       }
     }
-    for (const attempt of [...this.attempts.values()]) {
+    // Attempts are never fewer than what is reported; where they are as many, none is missing from the report.
+    if (this.#attempts.size === reported.size) return changes;
+    for (const attempt of [...this.#attempts.values()]) {
       if (reported.has(attempt.key) || this.mayStillStart(attempt)) continue;
       changes.push(this.#drop(attempt));
     }
@@ -235,17 +311,18 @@
 
   /** The start certainly never happened (refused, or never sent). */
   neverStarted(key: string): Change | undefined {
-    const attempt = this.attempts.get(key);
+    const attempt = this.#attempts.get(key);
     if (attempt?.phase !== 'sent') return undefined;
     return this.#drop(attempt);
   }
 
   dropAll(): Change[] {
-    return [...this.attempts.values()].map((attempt) => this.#drop(attempt));
+    return [...this.#attempts.values()].map((attempt) => this.#drop(attempt));
   }
 
   #drop(attempt: Attempt): Change {
-    this.attempts.delete(attempt.key);
+    this.#attempts.delete(attempt.key);
+    if (holdsRoom(attempt)) this.#give(attempt);
     return { kind: 'gone', attempt };
   }
 }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -34,7 +34,9 @@
 const CLOUD_TIMEOUT_MS = 5_000;
 /** This node's part of the limits that all nodes share: one may take more than a third, for others take less. */
 const RATE_PART = 0.6;
+const RATE_PARTS = 2;
 const CLOUD_RATE_PART = 0.7;
+const WATCH_PACE_MS = 100;
 const WATCHES_PER_LEASE = 5;
 const LEADER_PAUSE_MS = 1_000;
 const OWNER_PAUSE_MS = 500;
@@ -66,6 +68,7 @@
   readonly #stop = new AbortController();
   #types: readonly MachineType[] = [];
   #peersFreshAt = -Infinity;
+  #peersHeardAt = -Infinity;
 
   constructor(
     readonly settings: Settings,
@@ -75,18 +78,25 @@
     const { clock, log, http, random } = outside;
     const { platform } = settings;
     const { state, cloud } = platform.deployment;
+    // With more controllers each takes less; those that own nothing need little.
+    const part = Math.min(RATE_PART, RATE_PARTS / (platform.others.length + 1));
     const stateStore =
       store ??
       new HttpStateStore(
         http,
         platform.external.state,
-        new RateLimit(clock, state.rps * RATE_PART, state.rps * RATE_PART),
-        new RateLimit(clock, state.write_rps * RATE_PART, state.write_rps * RATE_PART),
+        new RateLimit(clock, state.rps * part, state.rps * part),
+        new RateLimit(clock, state.write_rps * part, state.write_rps * part),
         STATE_TIMEOUT_MS,
       );
-    const cloudRate = new RateLimit(clock, cloud.rps * CLOUD_RATE_PART, 2);
+    const cloudRate = new RateLimit(
+      clock,
+      (cloud.rps * CLOUD_RATE_PART) / Math.sqrt(settings.operator.blocks),
+      2,
+    );
     const cloudApi = new Cloud(http, platform.external.cloud, cloudRate, CLOUD_TIMEOUT_MS);
-    this.#cache = new WatchCache(stateStore, LIVE, clock, settings.blockLeaseMs / WATCHES_PER_LEASE);
+    const holdMs = settings.blockLeaseMs / WATCHES_PER_LEASE;
+    this.#cache = new WatchCache(stateStore, LIVE, clock, holdMs, WATCH_PACE_MS);
     this.#session = new Session(platform.node, settings.blockLeaseMs, stateStore, this.#cache, clock, log);
     const announce = (event: Event): void => {
       this.#cache.offer(event);
@@ -160,11 +170,13 @@
 
   /**
    * Whether users are well served here. A node that alone lost the state service sends them elsewhere; when all have
-   * lost it, going elsewhere would not help.
+   * lost it, going elsewhere would not help. One that hears nothing of the others either is likely cut off itself.
    */
   get ready(): boolean {
     if (!this.#cache.loaded || this.#types.length === 0) return false;
-    return this.#fresh || this.outside.clock.now() - this.#peersFreshAt > PEER_MEMORY_MS;
+    if (this.#fresh || this.settings.platform.others.length === 0) return true;
+    const now = this.outside.clock.now();
+    return now - this.#peersHeardAt <= PEER_MEMORY_MS && now - this.#peersFreshAt > PEER_MEMORY_MS;
   }
 
   /** Adds what is known of a live job's progress, for display. */
@@ -181,14 +193,14 @@
 
   async report(report: Report): Promise<ReportAnswer> {
     if (!this.#cache.loaded) return { kind: 'undecided' };
-    const record = read.machine(this.#cache.get(KEY.machine(report.machine))?.value);
-    // The leader takes it in when the cloud lists it; until then nobody answers for it.
-    if (!record) return { kind: 'undecided' };
-    const owner = this.#owners.get(record.block);
-    if (owner && !owner.stopped) {
+    for (const owner of this.#owners.values()) {
+      if (owner.stopped || !owner.machines.has(report.machine)) continue;
       const answer = await owner.report(report);
       return answer ? { kind: 'accepted', ...answer } : { kind: 'undecided' };
     }
+    const record = read.machine(this.#cache.get(KEY.machine(report.machine))?.value);
+    // The leader takes it in when the cloud lists it; until then nobody answers for it.
+    if (!record) return { kind: 'undecided' };
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
     if (lease && lease.owner !== this.#deps.node) return { kind: 'elsewhere', owner: lease.owner };
     return { kind: 'undecided' };
@@ -216,6 +228,7 @@
       this.#vouching.onPromise(message.promise);
       return;
     }
+    this.#peersHeardAt = this.outside.clock.now();
     if (message.fresh) this.#peersFreshAt = this.outside.clock.now();
     this.#takeProgress(message.jobs);
   }
@@ -251,6 +264,11 @@
     for (const [block, owner] of this.#owners) {
       const lease = read.lease(cache.get(KEY.lease(block))?.value);
       if (session.lease === undefined || lease?.owner !== node) owner.stop('its lease is not held here');
+      else if (read.block(cache.get(KEY.block(block))?.value)?.owner !== node) {
+        owner.stop('the leader gave it to another node');
+        // Once the lease is gone the other may take it: nothing leaves here any more.
+        await store.txn([owner.leaseGuard()], [{ delete: KEY.lease(block) }], true);
+      }
       if (owner.stopped) this.#owners.delete(block);
     }
     if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -13,6 +13,9 @@
   readonly avoid: ReadonlySet<string>;
   /** How long a task of it should run. */
   readonly runS: number;
+  /** It has waited so long that it gets some room out of turn. */
+  readonly aged: boolean;
+  readonly submittedAt: number;
 }
 
 export interface RoomyMachine {
@@ -41,6 +44,7 @@
 export interface Placement {
   job: string;
   machine: string;
+  aged: boolean;
 }
 
 const EPSILON = 1e-6;
@@ -81,26 +85,33 @@
   );
 }
 
-/** A job's turn in a round. `owed`: it takes only what still fits into its team's guarantee. */
+/**
+ * A job's turn in a round. `aged`: out of turn, into the part of the fleet that is kept for what has waited longest.
+ * `owed`: it takes only what still fits into its team's guarantee.
+ */
 export interface Turn {
   readonly waiting: WaitingJob;
-  readonly owed: boolean;
+  readonly kind: 'aged' | 'owed' | 'usual';
 }
 
 /**
- * Turns in the order in which they get room: priority, then what guarantees owe, then the least slack. Jobs that are
- * late already come after those that can still be in time, the smallest first: most users are served so.
+ * Turns in the order in which they get room: what has waited too long, the oldest first; then priority, then what
+ * guarantees owe, then the least slack. Jobs that are late already come after those that can still be in time, the
+ * smallest first: most users are served so. The turns of the aged keep that from starving the largest of them.
  */
 export function order(jobs: readonly WaitingJob[], teams: ReadonlyMap<string, TeamLimits>): Turn[] {
   const turns: Turn[] = [];
   for (const waiting of jobs) {
     const limits = teams.get(waiting.job.team);
-    if (limits && (limits.cpus > 0 || limits.gpus > 0)) turns.push({ waiting, owed: true });
-    turns.push({ waiting, owed: false });
+    if (waiting.aged) turns.push({ waiting, kind: 'aged' });
+    if (limits && (limits.cpus > 0 || limits.gpus > 0)) turns.push({ waiting, kind: 'owed' });
+    turns.push({ waiting, kind: 'usual' });
   }
-  const rank = (turn: Turn): number => 2 * PRIORITY_RANK[turn.waiting.job.priority] + (turn.owed ? 0 : 1);
+  const rank = ({ waiting, kind }: Turn): number =>
+    kind === 'aged' ? -1 : 2 * PRIORITY_RANK[waiting.job.priority] + (kind === 'owed' ? 0 : 1);
   const late = (turn: Turn): number => (turn.waiting.slackMs < 0 ? 1 : 0);
   return turns.sort((a, b) => {
+    if (a.kind === 'aged' && b.kind === 'aged') return a.waiting.submittedAt - b.waiting.submittedAt;
     const byRank = rank(a) - rank(b) || late(a) - late(b);
     if (byRank !== 0) return byRank;
     return late(a) === 1 ? a.waiting.work - b.waiting.work : a.waiting.slackMs - b.waiting.slackMs;
@@ -124,6 +135,10 @@
   readonly machines: readonly RoomyMachine[];
   readonly teams: ReadonlyMap<string, TeamLimits>;
   readonly use: ReadonlyMap<string, TeamUse>;
+  /** CPUs that may still be given out of turn. */
+  readonly agedCpus: number;
+  /** Whether any are given out of turn already: a task larger than the share gets its turn all the same, alone. */
+  readonly agedRuns: boolean;
   /** The turn to begin with: where the last round stopped. */
   readonly from: number;
 }
@@ -134,21 +149,54 @@
   unplaced: Map<string, number>;
   /** Where to go on, when the time ran out; undefined when all had their turn. */
   cursor: number | undefined;
+  /** How many machines were looked at, in all. */
+  looks: number;
+}
+
+/** Sizes that found no room in a round. Room only shrinks while a round places, so nothing larger will find any. */
+export class Hopeless {
+  readonly #sizes = new Map<string, Resources[]>();
+
+  add(group: string, needs: Resources): void {
+    const sizes = this.#sizes.get(group) ?? [];
+    this.#sizes.set(group, [...sizes.filter((s) => !atLeast(s, needs)), needs]);
+  }
+
+  has(group: string, needs: Resources): boolean {
+    return this.#sizes.get(group)?.some((s) => atLeast(needs, s)) ?? false;
+  }
+}
+
+function atLeast(a: Resources, b: Resources): boolean {
+  return a.cpus >= b.cpus && a.gpus >= b.gpus && a.memoryGb >= b.memoryGb;
 }
 
+/** Whether a task of the job may go to any machine. */
+export function anywhere({ job, avoid }: WaitingJob): boolean {
+  const { spot, types, zone, oneZone, spread } = job;
+  return spot && types === null && zone === null && !oneZone && !spread && avoid.size === 0;
+}
+
+/** So many machines are kept clear for aged work that fits nowhere yet. */
+const MAX_RESERVED = 8;
+
 /** Finds room for waiting tasks, until all had their turn or the round's time is up. */
 export function place(input: PlacementInput, timeIsUp: () => boolean): PlacementResult {
-  const free = new Map(input.machines.map((m) => [m.id, { ...m.free }]));
+  const rooms = new Map(input.machines.map((m) => [m.id, { ...m.free }]));
   const use = new Map([...input.use].map(([team, u]) => [team, { ...u }]));
   const placements: Placement[] = [];
   const unplaced = new Map<string, number>();
   const placedOf = new Map<string, number>();
   const zonesOf = new Map<string, Map<string, number>>();
+  const hopeless = new Hopeless();
+  let { agedCpus, agedRuns } = input;
+  let reserved = 0;
+  let looks = 0;
   for (let index = input.from; index < input.turns.length; index += 1) {
     const turn = input.turns[index];
     if (!turn) break;
-    if (index > input.from && timeIsUp()) return { placements, unplaced, cursor: index };
-    const { waiting, owed } = turn;
+    if (index > input.from && timeIsUp()) return { placements, unplaced, cursor: index, looks };
+    const { waiting, kind } = turn;
     const { job } = waiting;
     const limits = input.teams.get(job.team);
     if (!limits) continue;
@@ -156,38 +204,75 @@
     use.set(job.team, team);
     const zones = zonesOf.get(job.id) ?? new Map(waiting.zones);
     zonesOf.set(job.id, zones);
-    const candidates = input.machines.filter((m) => mayUse(job, m) && !waiting.avoid.has(m.id));
+    const mayTake = (): boolean =>
+      withinLimit(job, team, limits) &&
+      (kind !== 'owed' || withinGuarantee(job, team, limits)) &&
+      (kind !== 'aged' || !agedRuns || job.cpus <= agedCpus);
     let left = waiting.waiting - (placedOf.get(job.id) ?? 0);
-    while (left > 0 && withinLimit(job, team, limits) && (!owed || withinGuarantee(job, team, limits))) {
-      let best: RoomyMachine | undefined;
-      let bestScore = -Infinity;
-      for (const m of candidates) {
-        const room = free.get(m.id);
-        if (!room || !fits(job, room) || !zoneAllows(job, zones, m.zone)) continue;
-        const s = score(job, waiting.runS, m, room);
-        if (s > bestScore) {
-          best = m;
-          bestScore = s;
+    if (left > 0 && mayTake() && !hopeless.has('', job)) {
+      // A task that goes to the best machine makes it no worse for the next one of the same job, as less room is left
+      // over: so machines are looked at once for a job and filled in order, not looked at again for every task.
+      const candidates: { machine: RoomyMachine; room: Resources; score: number }[] = [];
+      looks += input.machines.length;
+      for (const machine of input.machines) {
+        const room = rooms.get(machine.id);
+        if (!room || !fits(job, room) || !mayUse(job, machine) || waiting.avoid.has(machine.id)) continue;
+        candidates.push({ machine, room, score: score(job, waiting.runS, machine, room) });
+      }
+      candidates.sort((a, b) => b.score - a.score);
+      for (const { machine, room } of candidates) {
+        if (left === 0 || !mayTake()) break;
+        while (left > 0 && mayTake() && fits(job, room) && zoneAllows(job, zones, machine.zone)) {
+          room.cpus -= job.cpus;
+          room.gpus -= job.gpus;
+          room.memoryGb -= job.memoryGb;
+          team.cpus += job.cpus;
+          team.gpus += job.gpus;
+          if (kind === 'aged') {
+            agedCpus -= job.cpus;
+            agedRuns = true;
+          }
+          zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+          placements.push({ job: job.id, machine: machine.id, aged: kind === 'aged' });
+          left -= 1;
         }
       }
-      const room = best && free.get(best.id);
-      if (!best || !room) break;
-      room.cpus -= job.cpus;
-      room.gpus -= job.gpus;
-      room.memoryGb -= job.memoryGb;
-      team.cpus += job.cpus;
-      team.gpus += job.gpus;
-      zones.set(best.zone, (zones.get(best.zone) ?? 0) + 1);
-      placements.push({ job: job.id, machine: best.id });
-      left -= 1;
+      const lacksRoom = left > 0 && mayTake();
+      if (lacksRoom && kind === 'aged' && reserved < MAX_RESERVED) {
+        // Small tasks would fill every gap before a large one fits: one machine is kept clear for it.
+        const clear = soonestClear(waiting, input.machines, rooms, zones);
+        if (clear !== undefined) {
+          rooms.delete(clear);
+          reserved += 1;
+          agedCpus -= job.cpus;
+          agedRuns = true;
+        }
+      } else if (lacksRoom && anywhere(waiting)) {
+        hopeless.add('', job);
+      }
     }
     placedOf.set(job.id, waiting.waiting - left);
     // Only work that its team's limit lets run counts as lacking room.
-    if (!owed && left > 0 && withinLimit(job, team, limits)) {
+    if (kind === 'usual' && left > 0 && withinLimit(job, team, limits)) {
       const byLimit =
         limits.cpus_max === 0 ? left : Math.floor((limits.cpus_max - team.cpus + EPSILON) / job.cpus);
       unplaced.set(job.id, Math.min(left, byLimit));
     }
   }
-  return { placements, unplaced, cursor: undefined };
+  return { placements, unplaced, cursor: undefined, looks };
+}
+
+/** The machine that is the first to have room for the job, once nothing more is put there. */
+function soonestClear(
+  { job, avoid }: WaitingJob,
+  machines: readonly RoomyMachine[],
+  rooms: ReadonlyMap<string, Resources>,
+  zones: ReadonlyMap<string, number>,
+): string | undefined {
+  let best: RoomyMachine | undefined;
+  for (const m of machines) {
+    if (!rooms.has(m.id) || !fits(job, m.type) || !mayUse(job, m) || avoid.has(m.id)) continue;
+    if (zoneAllows(job, zones, m.zone) && (!best || m.busyForS < best.busyForS)) best = m;
+  }
+  return best?.id;
 }
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,5 +1,14 @@
 import { PRIORITY_RANK, type Job, type MachineType, type Resources } from '../protocol/model';
-import { fits, mayUse, zoneAllows, type TeamLimits, type TeamUse, type WaitingJob } from './placement';
+import {
+  anywhere,
+  fits,
+  Hopeless,
+  mayUse,
+  zoneAllows,
+  type TeamLimits,
+  type TeamUse,
+  type WaitingJob,
+} from './placement';
 
 export interface Victim {
   readonly key: string;
@@ -27,6 +36,13 @@
   readonly use: ReadonlyMap<string, TeamUse>;
 }
 
+/** Which tasks to stop on a machine so that one more task fits there. */
+interface Plan {
+  machine: CrowdedMachine;
+  victims: Victim[];
+  loss: number;
+}
+
 const EPSILON = 1e-6;
 
 /**
@@ -55,11 +71,16 @@
  * Which running tasks to stop so that waiting ones get room: those of a lower priority, and, for a team short of its
  * guarantee, those that another team runs beyond its own. Nothing else is stopped for room.
  */
-export function choosePreemptions(input: PreemptionInput): string[] {
+export function choosePreemptions(
+  input: PreemptionInput,
+  timeIsUp: () => boolean = () => false,
+): { victims: { key: string; machine: string }[]; looks: number } {
+  let looks = 0;
   const none = { cpus: 0, gpus: 0 };
   const use = new Map([...input.use].map(([team, u]) => [team, { ...u }]));
   const useOf = (team: string): { cpus: number; gpus: number } => use.get(team) ?? { ...none };
-  const stopped = new Set<string>();
+  /** The machine of each task that is to be stopped. */
+  const stopped = new Map<string, string>();
   const rooms = new Map<string, Resources>();
   for (const m of input.machines) {
     const room = { ...m.free };
@@ -79,42 +100,71 @@
     const owed = useOf(waiting.team).cpus + waiting.cpus <= mine.cpus + EPSILON;
     return owed && useOf(victim.job.team).cpus - victim.job.cpus >= theirs.cpus - EPSILON;
   };
+  const hopeless = new Hopeless();
+  const plan = (job: Job, machine: CrowdedMachine): Plan | undefined => {
+    looks += 1;
+    const room = { ...(rooms.get(machine.id) ?? machine.free) };
+    const victims: Victim[] = [];
+    let loss = 0;
+    if (!fits(job, room)) {
+      const stoppable = machine.tasks.filter((v) => mayStop(job, v));
+      if (stoppable.length === 0) return undefined;
+      stoppable.sort(
+        (a, b) => PRIORITY_RANK[b.job.priority] - PRIORITY_RANK[a.job.priority] || a.lossS - b.lossS,
+      );
+      for (const victim of stoppable) {
+        if (fits(job, room)) break;
+        add(room, victim.job);
+        victims.push(victim);
+        loss += victim.lossS * victim.job.cpus;
+      }
+    }
+    return fits(job, room) ? { machine, victims, loss } : undefined;
+  };
+  const carryOut = (job: Job, { machine, victims }: Plan): void => {
+    const room = rooms.get(machine.id);
+    if (!room) return;
+    for (const victim of victims) {
+      stopped.set(victim.key, machine.id);
+      add(room, victim.job);
+      const team = useOf(victim.job.team);
+      use.set(victim.job.team, { cpus: team.cpus - victim.job.cpus, gpus: team.gpus - victim.job.gpus });
+    }
+    take(room, job);
+    const team = useOf(job.team);
+    use.set(job.team, { cpus: team.cpus + job.cpus, gpus: team.gpus + job.gpus });
+  };
   for (const { waiting, count } of input.unplaced) {
     const { job } = waiting;
-    const candidates = input.machines.filter(
-      (m) => mayUse(job, m) && !waiting.avoid.has(m.id) && zoneAllows(job, waiting.zones, m.zone),
-    );
-    for (let left = count; left > 0; left -= 1) {
-      let best: { machine: CrowdedMachine; victims: Victim[]; loss: number } | undefined;
-      for (const machine of candidates) {
-        const room = { ...(rooms.get(machine.id) ?? machine.free) };
-        const victims: Victim[] = [];
-        let loss = 0;
-        const stoppable = machine.tasks.filter((v) => mayStop(job, v));
-        stoppable.sort(
-          (a, b) => PRIORITY_RANK[b.job.priority] - PRIORITY_RANK[a.job.priority] || a.lossS - b.lossS,
-        );
-        for (const victim of stoppable) {
-          if (fits(job, room)) break;
-          add(room, victim.job);
-          victims.push(victim);
-          loss += victim.lossS * victim.job.cpus;
-        }
-        if (fits(job, room) && (!best || loss < best.loss)) best = { machine, victims, loss };
+    // What is owed to one team is not owed to another; else alike jobs find alike victims.
+    const group = `${job.priority} ${job.team}`;
+    if (timeIsUp()) break;
+    if (hopeless.has(group, job)) continue;
+    let left = count;
+    while (left > 0) {
+      // In one pass machines are looked at once, the least loss first, and again only after a task went there.
+      const before = left;
+      const plans: Plan[] = [];
+      for (const m of input.machines) {
+        if (!mayUse(job, m) || waiting.avoid.has(m.id) || !zoneAllows(job, waiting.zones, m.zone)) continue;
+        const found = plan(job, m);
+        if (found) plans.push(found);
       }
-      if (!best) break;
-      const room = rooms.get(best.machine.id);
-      if (!room) break;
-      for (const victim of best.victims) {
-        stopped.add(victim.key);
-        add(room, victim.job);
-        const team = useOf(victim.job.team);
-        use.set(victim.job.team, { cpus: team.cpus - victim.job.cpus, gpus: team.gpus - victim.job.gpus });
+      plans.sort((a, b) => a.loss - b.loss);
+      for (const first of plans) {
+        // Sums of teams change as tasks are chosen: what was found for this machine before may no longer hold.
+        const holds = first.victims.every((v) => mayStop(job, v));
+        let next = holds ? first : plan(job, first.machine);
+        while (next && left > 0 && next.loss <= first.loss) {
+          carryOut(job, next);
+          left -= 1;
+          next = left > 0 ? plan(job, first.machine) : undefined;
+        }
+        if (left === 0) break;
       }
-      take(room, job);
-      const team = useOf(job.team);
-      use.set(job.team, { cpus: team.cpus + job.cpus, gpus: team.gpus + job.gpus });
+      if (left === before) break;
     }
+    if (left === count && anywhere(waiting)) hopeless.add(group, job);
   }
-  return [...stopped];
+  return { victims: [...stopped].map(([key, machine]) => ({ key, machine })), looks };
 }
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -29,10 +29,15 @@
 /** Room for the rest of a transaction's body beside its values. */
 const MAX_VALUE_BYTES = 40 * 1024;
 const PAUSE_AFTER_TROUBLE_MS = 400;
+/** For completions of the same moment to go out together. */
+const GATHER_MS = 30;
+/** Part of the limit on changes, all controllers together, that bitmaps of unfinished jobs may take. */
+const BITMAPS_PART = 0.25;
 
 /** Writes completions to the state service in batches: one transaction covers many jobs. */
 export class Recorder {
   readonly #wake: Wake;
+  #bitmapsAt = -Infinity;
 
   constructor(
     private readonly block: Recorded,
@@ -48,32 +53,46 @@
   /** One step; to be run in a loop. */
   async step(signal: AbortSignal): Promise<void> {
     await this.#wake.wait(1000);
+    await this.deps.clock.sleep(GATHER_MS, signal);
     if (signal.aborted || !this.block.entitled) return;
-    const parts = this.#collect();
-    if (parts.length === 0) return;
-    try {
-      if (!(await this.#write(parts))) await this.deps.clock.sleep(PAUSE_AFTER_TROUBLE_MS, signal);
-    } finally {
-      if (this.#pending()) this.#wake.wake();
+    const now = this.deps.clock.now();
+    const parts = this.#collect(now);
+    if (parts.length > 0 && !(await this.#write(parts))) {
+      await this.deps.clock.sleep(PAUSE_AFTER_TROUBLE_MS, signal);
     }
-    await this.deps.clock.sleep(this.deps.settings.operator.flush_ms, signal);
+    this.#wakeForMore();
   }
 
-  #pending(): boolean {
-    for (const table of this.block.tables.values()) if (table.unrecorded.size > 0) return true;
-    return false;
+  /** What is complete goes out at once; the rest when its time has come. */
+  #wakeForMore(): void {
+    for (const table of this.block.tables.values()) {
+      if (table.unrecorded.size > 0 && table.remaining === 0) {
+        this.#wake.wake();
+        return;
+      }
+    }
   }
 
-  /** Jobs that are complete come first: their users wait for them. */
-  #collect(): Part[] {
-    const { txn_ops } = this.deps.settings.platform.deployment.state;
+  /**
+   * Jobs that are complete come first: their users wait for them. Bitmaps of the others go out at a pace that leaves
+   * most of the limit on changes to what users ask for, those that have waited longest first.
+   */
+  #collect(now: number): Part[] {
+    const { txn_ops, write_rps } = this.deps.settings.platform.deployment.state;
+    const { flush_ms, blocks } = this.deps.settings.operator;
     const dirty = [...this.block.tables.values()].filter((t) => t.unrecorded.size > 0);
-    dirty.sort((a, b) => Number(b.remaining === 0) - Number(a.remaining === 0));
+    const complete = dirty.filter((t) => t.remaining === 0);
+    const others = now - this.#bitmapsAt < flush_ms ? [] : dirty.filter((t) => t.remaining > 0);
+    others.sort((a, b) => a.recordedAt - b.recordedAt);
+    let bitmaps = Math.max(1, Math.floor(((write_rps * BITMAPS_PART) / blocks) * (flush_ms / 1000)));
+    if (others.length > 0) this.#bitmapsAt = now;
     const parts: Part[] = [];
     let changes = 0;
     let bytes = 0;
-    for (const table of dirty) {
-      const part = table.remaining === 0 ? this.#finalPart(table) : this.#bitmapPart(table);
+    for (const table of [...complete, ...others]) {
+      const isFinal = table.remaining === 0;
+      if (!isFinal && bitmaps <= 0) break;
+      const part = isFinal ? this.#finalPart(table) : this.#bitmapPart(table);
       const size = part.changes.reduce(
         (sum, c) => sum + ('put' in c ? JSON.stringify(c.value).length : 0),
         0,
@@ -81,8 +100,10 @@
       if (parts.length > 0 && (changes + part.changes.length > txn_ops || bytes + size > MAX_VALUE_BYTES))
         break;
       parts.push(part);
+      table.recordedAt = now;
       changes += part.changes.length;
       bytes += size;
+      if (!isFinal) bitmaps -= part.changes.length;
     }
     return parts;
   }
--- /dev/null
+++ b/src/coordination/scheduler.ts
@@ -0,0 +1,319 @@
+import { PRIORITY_RANK } from '../protocol/model';
+import type { Attempts } from './attempts';
+import type { Block } from './block';
+import type { Deps } from './deps';
+import { eagerCandidates } from './eager';
+import type { FleetInput, FleetMachine, RentOption } from './fleet';
+import { holdsRoom, ranS, type Machine } from './machine';
+import { fits, mayUse, order, place, type RoomyMachine, type Turn, type WaitingJob } from './placement';
+import { choosePreemptions, stopCost, type CrowdedMachine } from './preemption';
+
+/** A machine that stays silent although it may be a cut of ours is given up this long after its lease's end. */
+const GIVE_UP_AFTER_LEASE_MS = 20_000;
+const NOTICE_MARGIN_MS = 1_500;
+/** A task that should end this soon is not stopped for others. */
+const NEARLY_DONE_S = 5;
+/** How long a machine may hold up a block that was taken over before it is returned. */
+const HELD_UP_MS = 5_000;
+/** Preemption walks over all that runs; what it stops takes seconds to go. */
+const PREEMPT_EVERY_MS = 250;
+
+/** The decisions of a block's rounds: which attempts to issue, and which to stop. */
+export class Scheduler {
+  #cursor = 0;
+  #unplaced = new Map<string, number>();
+  #complete = false;
+  #completeOnce = false;
+  #preemptedAt = -Infinity;
+
+  constructor(
+    private readonly block: Block,
+    private readonly attempts: Attempts,
+    private readonly deps: Deps,
+  ) {}
+
+  get unplaced(): ReadonlyMap<string, number> {
+    return this.#unplaced;
+  }
+
+  /** What need not be looked at with every message: walks over all machines, on a clock. */
+  housekeep(now: number): void {
+    this.#expire(now);
+    this.#heedNotices(now);
+    this.#eager(now);
+    this.#retire(now);
+  }
+
+  /** Finds room for what waits. True: the time was up before all had their turn. */
+  round(now: number): boolean {
+    this.attempts.stopSurplus();
+    const jobs = this.#waitingJobs(now);
+    if (jobs.length === 0) {
+      this.#unplaced.clear();
+      this.#complete = true;
+      this.#completeOnce = true;
+      this.#cursor = 0;
+      return false;
+    }
+    const endAt = this.deps.clock.now() + this.deps.settings.operator.round_budget_ms;
+    const timeIsUp = (): boolean => this.deps.clock.now() > endAt;
+    const turns = order(jobs, this.block.teams);
+    const { use, machines, agedCpus } = this.#roomy(jobs, now);
+    const agedRuns = this.block.holdings.agedCpus > 0;
+    const from = this.#cursor < turns.length ? this.#cursor : 0;
+    const { teams } = this.block;
+    const result = place({ turns, machines, teams, use, agedCpus, agedRuns, from }, timeIsUp);
+    for (const placement of result.placements) this.attempts.issue(placement, now);
+    if (from === 0) this.#unplaced = result.unplaced;
+    else for (const [job, count] of result.unplaced) this.#unplaced.set(job, count);
+    this.#cursor = result.cursor ?? 0;
+    this.#complete = result.cursor === undefined;
+    if (!this.#complete) return true;
+    this.#completeOnce = true;
+    if (this.#unplaced.size > 0 && now - this.#preemptedAt >= PREEMPT_EVERY_MS) {
+      this.#preemptedAt = now;
+      this.#preempt(turns, now, timeIsUp);
+    }
+    return false;
+  }
+
+  #waitingJobs(now: number): WaitingJob[] {
+    const { block } = this;
+    const allKnown = block.allKnown;
+    const agedMs = this.deps.settings.operator.aged_s * 1000;
+    const waiting: WaitingJob[] = [];
+    for (const table of block.tables.values()) {
+      if (table.unassigned === 0 || table.retryAt > now) continue;
+      const { job } = table;
+      // A task may still be on a machine that we have not heard of since we took the block. Only a job that was
+      // accepted after we took it can't be; what its team may use there is counted against its limit.
+      if (!allKnown && table.version <= block.takenRevision) continue;
+      const runS = block.estimates.runS(job);
+      const slackMs = block.slackMs(table);
+      const begun = table.done > 0 || table.issued.size > 0;
+      waiting.push({
+        job,
+        waiting: table.unassigned,
+        zones: block.holdings.zonesOf(job.id),
+        slackMs,
+        work: table.remaining * job.cpus * runS,
+        avoid: table.errorMachines,
+        runS,
+        // However much that is smaller or more urgent comes in: the oldest get some room out of turn, for otherwise
+        // a large job that is late would wait for as long as the surplus lasts.
+        aged: block.ageMs(table) > agedMs && (!begun || slackMs < 0) && !table.suspect,
+        submittedAt: table.submittedAt,
+      });
+    }
+    return waiting;
+  }
+
+  /** Machines with room for the least that waits, what teams use, and what is left for aged work. */
+  #roomy(
+    jobs: readonly WaitingJob[],
+    now: number,
+  ): { machines: RoomyMachine[]; use: ReturnType<Block['use']>; agedCpus: number } {
+    const { block } = this;
+    const anyAged = jobs.some((j) => j.aged);
+    const least = Math.min(...jobs.map((j) => j.job.cpus));
+    const machines: RoomyMachine[] = [];
+    let totalCpus = 0;
+    for (const m of block.machines.values()) {
+      if (!block.usable(m, now)) continue;
+      totalCpus += m.type.cpus;
+      // For aged work a machine without room may have to be kept clear.
+      if (!anyAged && m.freeCpus + 1e-6 < least) continue;
+      machines.push({
+        ...{ id: m.id, type: m.type, zone: m.record.zone, spot: m.record.spot },
+        ...{ free: m.free(), images: m.images, busyForS: this.#busyForS(m, now) },
+      });
+    }
+    const { aged_share } = this.deps.settings.operator;
+    return { machines, use: block.use(), agedCpus: totalCpus * aged_share - block.holdings.agedCpus };
+  }
+
+  #busyForS(machine: Machine, now: number): number {
+    let longest = 0;
+    for (const attempt of machine.attempts.values()) {
+      const table = this.block.tables.get(attempt.job);
+      if (!table || !holdsRoom(attempt) || attempt.stop) continue;
+      longest = Math.max(longest, this.block.estimates.runS(table.job) - ranS(attempt, now), 1);
+    }
+    return longest;
+  }
+
+  #preempt(turns: readonly Turn[], now: number, timeIsUp: () => boolean): void {
+    const unplaced = turns
+      .filter((turn) => turn.kind === 'usual')
+      .map(({ waiting }) => ({ waiting, count: this.#unplaced.get(waiting.job.id) ?? 0 }))
+      .filter(({ count }) => count > 0);
+    if (unplaced.length === 0) return;
+    const machines: CrowdedMachine[] = [];
+    for (const m of this.block.machines.values()) {
+      if (!this.block.usable(m, now)) continue;
+      const tasks = [...m.attempts.values()].flatMap((a) => {
+        const job = this.block.tables.get(a.job)?.job;
+        // What was issued a moment ago is left alone: stopping it would only chase tasks about.
+        if (!job || !holdsRoom(a) || a.phase === 'sent' || a.aged) return [];
+        const ran = ranS(a, now);
+        // It will have made room by itself before a stop would pay.
+        if (this.block.estimates.runS(job) - ran < job.saveS + NEARLY_DONE_S && a.runningSince !== undefined)
+          return [];
+        const { lossS } = stopCost(job, ran);
+        return [{ key: a.key, job, lossS, stopping: a.stop !== undefined }];
+      });
+      const { id, type, record } = m;
+      machines.push({ id, type, zone: record.zone, spot: record.spot, free: m.free(), tasks });
+    }
+    const use = this.block.use();
+    const { victims } = choosePreemptions({ unplaced, machines, teams: this.block.teams, use }, timeIsUp);
+    for (const { key, machine: id } of victims) {
+      const machine = this.block.machines.get(id);
+      const attempt = machine?.attempts.get(key);
+      if (!machine || !attempt) continue;
+      const job = this.block.tables.get(attempt.job)?.job;
+      this.attempts.want(machine, attempt, job ? stopCost(job, ranS(attempt, now)).graceS : 0);
+      this.deps.log.debug({ job: attempt.job, task: attempt.task, machine: id }, 'stopped for others');
+    }
+  }
+
+  /** Machines whose workers' leases ran out: they have killed and forgotten all they had. */
+  #expire(now: number): void {
+    for (const machine of this.block.machines.values()) {
+      if (machine.settled && machine.attempts.size === 0) continue;
+      if (now <= machine.deadAt(this.block.timing.leaseMs)) continue;
+      // Nobody can have answered it since.
+      this.deps.log.info(
+        { machine: machine.id, attempts: machine.attempts.size },
+        'lease of a silent machine ran out',
+      );
+      this.attempts.dropAll(machine);
+    }
+  }
+
+  #heedNotices(now: number): void {
+    for (const machine of this.block.machines.values()) {
+      if (machine.noticeUntil === undefined) continue;
+      machine.leaving ??= 'notice';
+      for (const attempt of machine.attempts.values()) {
+        const table = this.block.tables.get(attempt.job);
+        if (!table || attempt.stop || !holdsRoom(attempt)) continue;
+        const leftMs = machine.noticeUntil - now;
+        const neededMs = (this.block.estimates.runS(table.job) - ranS(attempt, now)) * 1000;
+        const fetching = attempt.phase !== 'running';
+        if (!fetching && neededMs < leftMs - NOTICE_MARGIN_MS) continue;
+        const { checkpointS, saveS } = table.job;
+        const graceS = checkpointS > 0 && !fetching ? saveS : 0;
+        // A task that can save works on until just before it must; any other is issued again at once.
+        if (graceS > 0 && leftMs > saveS * 1000 + 2 * NOTICE_MARGIN_MS) continue;
+        this.attempts.want(machine, attempt, graceS);
+      }
+    }
+  }
+
+  /**
+   * Eager scheduling: the tasks of a machine that misses reports are stopped and issued again, into room that no
+   * waiting task can use. The stop is confirmed by the worker, by the end of its lease, or by returning the machine.
+   */
+  #eager(now: number): void {
+    const { timing } = this.block;
+    const { candidates, release } = eagerCandidates({
+      machines: [...this.block.machines.values()]
+        .filter((m) => m.up && !m.releasing)
+        .map((m) => ({
+          id: m.id,
+          zone: m.record.zone,
+          // One that reports but hears nothing is as good as silent.
+          heardAt: Math.min(m.heardAt ?? m.firstSeenAt, m.deafSince ?? Infinity),
+          busy: m.busy,
+          // All that waits in the block waits for it: it was asked directly again and again, and gave no answer.
+          holdsUp: !m.settled,
+        })),
+      now,
+      missedMs: timing.missedMs,
+      releaseMs: timing.silentReleaseMs,
+      heldUpMs: HELD_UP_MS,
+    });
+    for (const id of release) {
+      const machine = this.block.machines.get(id);
+      if (machine) machine.leaving ??= 'silent';
+    }
+    if (candidates.length === 0 || !this.#complete || this.#unplaced.size > 0) return;
+    const rooms = [...this.block.machines.values()]
+      .filter((m) => this.block.usable(m, now))
+      .map((m) => ({ m, room: m.free() }));
+    for (const id of candidates) {
+      const machine = this.block.machines.get(id);
+      if (!machine) continue;
+      for (const attempt of machine.attempts.values()) {
+        const job = this.block.tables.get(attempt.job)?.job;
+        if (!job || attempt.stop || !holdsRoom(attempt)) continue;
+        const found = rooms.find(
+          ({ m, room }) =>
+            fits(job, room) && mayUse(job, { type: m.type, zone: m.record.zone, spot: m.record.spot }),
+        );
+        if (!found) continue;
+        found.room.cpus -= job.cpus;
+        found.room.gpus -= job.gpus;
+        found.room.memoryGb -= job.memoryGb;
+        this.deps.log.info({ job: job.id, task: attempt.task, machine: id }, 'eager re-issue: stop first');
+        this.attempts.want(machine, attempt, job.checkpointS > 0 ? job.saveS : 0);
+      }
+    }
+  }
+
+  /** Machines that are of no more use. */
+  #retire(now: number): void {
+    const lateFactor = this.deps.settings.operator.late_boot_factor;
+    for (const machine of this.block.machines.values()) {
+      if (machine.leaving !== undefined) continue;
+      const lateAt = machine.knownSince + machine.type.bootS * lateFactor * 1000;
+      const deadAt = machine.deadAt(this.block.timing.leaseMs);
+      if (!machine.up && now > lateAt) machine.leaving = 'late';
+      else if (machine.up && !machine.busy && now > deadAt + GIVE_UP_AFTER_LEASE_MS) {
+        machine.leaving = 'silent';
+      }
+    }
+  }
+
+  fleetInput(refused: (option: RentOption) => boolean): FleetInput | undefined {
+    const { block } = this;
+    if (!this.#completeOnce || (!block.allKnown && this.#unplaced.size === 0)) return undefined;
+    const { clock, settings } = this.deps;
+    const now = clock.now();
+    const machines: FleetMachine[] = [];
+    let freeCpus = 0;
+    let totalCpus = 0;
+    let freeingCpus = 0;
+    for (const m of block.machines.values()) {
+      if (m.leaving !== undefined || m.releasing) continue;
+      const usable = block.usable(m, now);
+      const idle = m.up && m.attempts.size === 0 && usable;
+      machines.push({
+        ...{ id: m.id, type: m.type, zone: m.record.zone, spot: m.record.spot, booting: !m.up },
+        ageMs: now - m.knownSince,
+        idleMs: idle ? now - m.idleSince : 0,
+      });
+      if (!m.up) continue;
+      totalCpus += m.type.cpus;
+      if (usable) freeCpus += Math.max(0, m.freeCpus);
+      for (const a of m.attempts.values()) {
+        const table = block.tables.get(a.job);
+        if (!holdsRoom(a) || !table) continue;
+        const endsMs = (block.estimates.runS(table.job) - ranS(a, now)) * 1000;
+        if (endsMs < m.type.bootS * 1000 * settings.operator.rent_patience) freeingCpus += a.needs.cpus;
+      }
+    }
+    const unplaced = [...this.#unplaced].flatMap(([id, count]) => {
+      const table = block.tables.get(id);
+      if (!table) return [];
+      const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high;
+      const slackMs = block.slackMs(table);
+      return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
+    });
+    const warmCpus = totalCpus * settings.operator.warm_share;
+    const idleReleaseMs = settings.operator.idle_release_s * 1000;
+    const types = this.deps.types();
+    return { unplaced, machines, types, refused, freeingCpus, idleReleaseMs, warmCpus, freeCpus };
+  }
+}
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -66,6 +66,8 @@
 });
 
 const PAGE = 500;
+/** Who would wait longer for a turn inside the limits is told to come back: users, above all, never queue unseen. */
+const PATIENCE_MS = 1_000;
 
 /**
  * The state service over HTTP. Requests and changes each stay inside this node's part of the limits;
@@ -87,7 +89,7 @@
   }
 
   async get(key: string): Promise<Entry | null> {
-    await this.requests.take();
+    await this.requests.take(1, PATIENCE_MS);
     const answer = await this.#call('GET', `/store/${key}`, undefined);
     if (answer.status === 404) return null;
     const entry = this.#parse(answer, entrySchema);
@@ -111,7 +113,7 @@
       this.requests.takeNow();
       this.writes.takeNow(changes.length);
     } else {
-      await this.writes.take(changes.length);
+      await this.writes.take(changes.length, PATIENCE_MS);
       await this.requests.take();
     }
     const body = {
--- a/src/transport/rate-limit.ts
+++ b/src/transport/rate-limit.ts
@@ -1,6 +1,14 @@
 import type { Clock } from '../base/clock';
 
-/** A token bucket. `take` waits for its turn; `takeNow` goes ahead at once and lets the others wait longer. */
+/** The wait for one's turn would be longer than one is ready to wait. */
+export class Busy extends Error {
+  override name = 'Busy';
+}
+
+/**
+ * A token bucket. `take` waits for its turn, first come first served; `takeNow` goes ahead at once and lets the others
+ * wait longer. Tokens are taken before the wait, so that a large batch can't be overtaken for ever by small ones.
+ */
 export class RateLimit {
   #tokens: number;
   #filledAt: number;
@@ -25,18 +33,13 @@
     this.#tokens -= count;
   }
 
-  /** Takes the tokens if they are there. */
-  tryTake(count = 1): boolean {
+  /** Waits for its turn; refused at once, with nothing taken, when that would take too long. */
+  async take(count = 1, patienceMs = Infinity): Promise<void> {
     this.#fill();
-    if (this.#tokens < Math.min(count, this.burst)) return false;
+    const missing = Math.min(count, this.burst) - this.#tokens;
+    const waitMs = (missing / this.perSecond) * 1000;
+    if (waitMs > patienceMs) throw new Busy(`a turn is ${Math.round(waitMs)} ms away`);
     this.#tokens -= count;
-    return true;
-  }
-
-  async take(count = 1): Promise<void> {
-    while (!this.tryTake(count)) {
-      const missing = Math.min(count, this.burst) - this.#tokens;
-      await this.clock.sleep(Math.max(5, (missing / this.perSecond) * 1000));
-    }
+    if (waitMs > 0) await this.clock.sleep(waitMs);
   }
 }
--- /dev/null
+++ b/test/hearing.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { FakeWorker } from './fakes/worker';
+import { World } from './fakes/world';
+
+/** From now on the machine's reports arrive, but neither answers nor commands reach it. */
+function deafen(world: World, worker: FakeWorker, starts: string[]): () => void {
+  return world.network.rule(({ from, to, path, body }) => {
+    if (to === worker.address) {
+      if (path === '/do' && JSON.stringify(body).includes('"run"')) starts.push(JSON.stringify(body));
+      return 'lose';
+    }
+    return from === worker.id ? 'lose answer' : undefined;
+  });
+}
+
+test('a machine that reports but hears nothing gets no starts, and its work goes on elsewhere', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 4, reckonS: 60 }, 60);
+  await world.until('4 tasks run', () => world.running.length >= 4);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  const spare = [world.addWorker('b'), world.addWorker('b')];
+  await world.clock.advance(13_000);
+  const starts: string[] = [];
+  deafen(world, worker, starts);
+  const deafAt = world.clock.now();
+  // More than the others hold, so that starts go there too.
+  await world.submit('req-2', { pieces: 12, reckonS: 10 }, 10);
+  await world.until('its tasks run elsewhere', () => spare.includes(world.where('req-1/0') ?? ''), 60);
+  assert.ok(world.clock.now() - deafAt < 30_000, `${world.clock.now() - deafAt} ms`);
+  await world.untilStanding('req-2', 'done');
+  assert.ok(starts.length <= 1, `${starts.length} starts left for it`);
+  world.noRuleBroken();
+});
+
+test('it is found out by its sessions too, before anything is started there', async () => {
+  const world = new World();
+  // The cloud can't be asked to end it.
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  await world.submit('req-1', { pieces: 1 }, 2);
+  await world.untilStanding('req-1', 'done');
+  const worker = [...world.workers.values()][0];
+  assert.ok(worker);
+  world.capacity = 0;
+  const starts: string[] = [];
+  deafen(world, worker, starts);
+  await world.until('its session moves on', () => worker.shift > 1, 30);
+  await world.clock.advance(2000);
+  await world.submit('req-2', { pieces: 2 }, 5);
+  await world.clock.advance(10_000);
+  assert.deepEqual(starts, []);
+  world.capacity = 1;
+  await world.untilStanding('req-2', 'done');
+  assert.deepEqual(starts, []);
+  world.noRuleBroken();
+});
+
+test('a machine that hears nothing during a takeover holds up the others no longer than its lease', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 2, reckonS: 60 }, 60);
+  await world.until('2 tasks run', () => world.running.length >= 2);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  const spare = [world.addWorker('b'), world.addWorker('b')];
+  await world.clock.advance(13_000);
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  deafen(world, worker, []);
+  world.kill(world.owner);
+  await world.clock.advance(100);
+  await world.untilOwned();
+  const takenAt = world.clock.now();
+  await world.until('its tasks run elsewhere', () => spare.includes(world.where('req-1/0') ?? ''), 60);
+  assert.ok(world.clock.now() - takenAt < 20_000, `${world.clock.now() - takenAt} ms`);
+  world.noRuleBroken();
+});
+
+test('copies of reports, seconds to well over a lease late, move nothing and count as no sign of life', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 2, reckonS: 60 }, 60);
+  await world.until('2 tasks run', () => world.running.length >= 2);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  const spare = [world.addWorker('b'), world.addWorker('b')];
+  const copies: Record<string, unknown>[] = [];
+  const heal = world.network.rule(({ from, path, body }) => {
+    if (from === worker.id && path === '/hello') copies.push(body as Record<string, unknown>);
+    return undefined;
+  });
+  await world.clock.advance(13_000);
+  heal();
+  const say = (copy: Record<string, unknown>): void => {
+    void world.network
+      .caller('late')
+      .call(world.controllers[world.owner]?.address ?? '', 'POST', '/hello', copy, 4000)
+      .catch(() => undefined);
+  };
+  for (const copy of copies.slice(0, 5)) say(copy);
+  await world.clock.advance(3000);
+  assert.equal(world.where('req-1/0'), worker.id);
+  // Now it dies, and copies of all it ever said go on arriving.
+  worker.hanging = true;
+  const diedAt = world.clock.now();
+  for (let step = 0; !spare.includes(world.where('req-1/0') ?? '') && step < 200; step += 1) {
+    const copy = copies[step % copies.length];
+    if (copy) say(copy);
+    await world.clock.advance(200);
+  }
+  assert.ok(world.clock.now() - diedAt < 12_000, `${world.clock.now() - diedAt} ms`);
+  // Nor do they bring back the machine that is gone, here or at a later owner.
+  for (const takeover of [false, true]) {
+    if (takeover) {
+      world.kill(world.owner);
+      await world.clock.advance(100);
+      await world.untilOwned();
+    }
+    for (const copy of copies.slice(-5)) say(copy);
+    const before = world.where('req-1/0');
+    await world.clock.advance(15_000);
+    assert.equal(world.where('req-1/0'), before);
+  }
+  await world.untilStanding('req-1', 'done', 120, world.owner);
+  world.noRuleBroken();
+});
+
+test('a controller that has its workers but neither state service nor peers lets them go, and they run on', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 3 }, 60);
+  await world.until('3 tasks run', () => world.running.length >= 3);
+  const before = world.running.map((piece) => `${piece} ${world.where(piece)}`);
+  const old = world.owner;
+  const name = `node-${old}`;
+  world.state.refused.add(name);
+  world.silencePeers = true;
+  await world.clock.advance(8000);
+  const reader = world.owner;
+  assert.ok(reader >= 0 && reader !== old);
+  assert.equal((await world.ask(old, 'GET', '/work/req-1')).status, 503);
+  assert.equal((await world.ask(old, 'GET', '/up')).status, 503);
+  const report = [...world.workers.values()][0]?.report();
+  assert.equal((await world.ask(old, 'POST', '/hello', report)).status, 503);
+  await world.clock.advance(4000);
+  assert.deepEqual(
+    world.running.map((piece) => `${piece} ${world.where(piece)}`),
+    before,
+  );
+  await world.untilStanding('req-1', 'done', 120, reader);
+  world.noRuleBroken();
+});
