--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -6,7 +6,6 @@
 import { attemptNumber, type Attempt, type Change, type Described, type Machine } from './machine';
 import type { Placement } from './placement';
 
-const AVOID_MS = 2_000;
 const UNKNOWN_JOB_PAUSE_MS = 1_000;
 const NO_NEEDS: Described = { needs: { cpus: 0, gpus: 0, memoryGb: 0 }, team: '', image: '', imageGb: 0 };
 
@@ -146,7 +145,7 @@
       this.deps.log.info({ job, task, machine: machine.id, sick: machine.sick }, 'attempt failed');
       if (machine.sick) machine.leaving ??= 'sick';
     } else if (cause === 'no_room') {
-      machine.avoidUntil = now + AVOID_MS;
+      machine.avoid(now);
     } else if (cause === 'unknown') {
       table.retryAt = now + UNKNOWN_JOB_PAUSE_MS;
     }
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -215,7 +215,6 @@
     const { missedMs, leaseMs } = this.#block.timing;
     const silentBefore = machine.heardAt === undefined || now - machine.heardAt > missedMs;
     const changes = machine.absorb(report, now, leaseMs, (job) => this.#attempts.describe(job));
-    this.#commander.checkHearing(machine);
     const { token } = this.#block;
     if (report.token > token) {
       this.deps.log.warn({ machine: machine.id, seen: report.token, token }, 'a worker saw a higher token');
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -161,20 +161,19 @@
     return least;
   }
 
-  /** Nodes that keep leases of this block's workers, as far as our view goes. */
-  get keepers(): string[] {
-    const { settings, cache } = this.deps;
-    const nodes = settings.platform.others.map(({ node }) => node);
-    return nodes.filter((node) => cache.get(KEY.keep(this.number, node)) !== undefined);
+  get #keepKeys(): string[] {
+    return this.deps.settings.platform.others.map(({ node }) => KEY.keep(this.number, node));
+  }
+
+  /** Whether any node keeps leases of this block's workers, as far as our view goes. */
+  get isKept(): boolean {
+    return this.#keepKeys.some((key) => this.deps.cache.get(key) !== undefined);
   }
 
   /** Whether the state service says that nobody keeps, and our view holds all that was kept before. */
   async nobodyKeeps(): Promise<boolean> {
-    const { settings, store, cache, clock } = this.deps;
-    const guards = settings.platform.others.map(({ node }) => ({
-      key: KEY.keep(this.number, node),
-      version: 0,
-    }));
+    const { store, cache, clock } = this.deps;
+    const guards = this.#keepKeys.map((key) => ({ key, version: 0 }));
     const result = await store.txn([this.leaseGuard(), ...guards], []);
     while (result.ok && cache.revision < result.revision && this.entitled) await clock.sleep(20);
     return result.ok && this.entitled;
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -7,7 +7,6 @@
 import { issueToken, type Attempt, type Machine } from './machine';
 
 const MAX_ORDERS = 200;
-const AVOID_MS = 2_000;
 /** Between two questions to a machine that has not shown our token, or that hears nothing. */
 const ASK_EVERY_MS = 1_000;
 
@@ -16,8 +15,6 @@
   /** Machines with something to be ordered, in the order in which they came to have it. */
   readonly #due = new Set<Machine>();
   readonly #out = new Set<Machine>();
-  /** Machines that hear nothing, as far as we can tell. */
-  readonly #deaf = new Set<Machine>();
   readonly #mostOut: number;
 
   constructor(
@@ -36,7 +33,6 @@
 
   forget(machine: Machine): void {
     this.#due.delete(machine);
-    this.#deaf.delete(machine);
   }
 
   /** Sends what is due, as far as sockets allow; the rest goes out as answers come in. */
@@ -54,11 +50,11 @@
    * those that seem to hear nothing. All at once would take a socket each: the longest unasked go first.
    */
   ask(now: number): void {
-    const due = new Set([...this.block.unsettled, ...this.#deaf]);
+    const due = new Set(this.block.unsettled);
     // Workers that another node keeps may be within our reach all the same: their reports go there, so we ask.
-    if (this.block.keepers.length > 0) {
-      for (const m of this.block.machines.values())
-        if (m.isSilent(now, this.block.timing.missedMs)) due.add(m);
+    const kept = this.block.isKept;
+    for (const m of this.block.machines.values()) {
+      if (m.deafSince !== undefined || (kept && m.isSilent(now, this.block.timing.missedMs))) due.add(m);
     }
     for (const machine of [...due].sort((a, b) => a.probedAt - b.probedAt)) {
       if (!machine.up || machine.gone) continue;
@@ -130,18 +126,19 @@
     for (const attempt of sent) attempt.inFlight = false;
     const now = this.deps.clock.now();
     if (result.kind === 'done' || result.kind === 'refused') {
-      this.#hears(machine);
+      machine.deafSince = undefined;
       if (result.report) this.absorb(machine, result.report);
     }
     if (result.kind === 'refused' || result.kind === 'not sent') {
       for (const attempt of sent) this.attempts().neverStarted(machine, attempt.key);
-      machine.avoidUntil = now + (result.kind === 'refused' ? 0 : AVOID_MS);
+      if (result.kind === 'not sent') machine.avoid(now);
     }
     if (result.kind === 'unknown' || result.kind === 'not sent') {
       this.deps.log.debug({ machine: machine.id, result: result.kind }, 'command unanswered');
       if (result.kind === 'unknown') {
-        machine.avoidUntil = now + AVOID_MS;
-        this.#deafens(machine);
+        machine.avoid(now);
+        machine.deafSince ??= now;
+        machine.probedAt = now;
       }
       // What was placed here meanwhile goes elsewhere: the machine may be hanging.
       for (const attempt of [...machine.attempts.values()])
@@ -155,24 +152,4 @@
     if (again || result.kind === 'done') this.#command(machine, again);
     else this.due(machine);
   }
-
-  /**
-   * Commands to it go unanswered, or its lease ran out though we answered its reports: until one is answered, no
-   * start leaves for it, whatever it reports.
-   */
-  #deafens(machine: Machine): void {
-    machine.deafSince ??= this.deps.clock.now();
-    machine.probedAt = this.deps.clock.now();
-    this.#deaf.add(machine);
-  }
-
-  #hears(machine: Machine): void {
-    machine.deafSince = undefined;
-    this.#deaf.delete(machine);
-  }
-
-  /** After a report: whether its session says that our answers don't reach it. */
-  checkHearing(machine: Machine): void {
-    if (machine.deafSince !== undefined && !this.#deaf.has(machine)) this.#deafens(machine);
-  }
 }
--- a/src/coordination/consolidation.ts
+++ b/src/coordination/consolidation.ts
@@ -1,4 +1,4 @@
-import type { Job, MachineType, Resources } from '../protocol/model';
+import { addTo, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 import { fits, mayUse } from './placement';
 
 export interface MovableTask {
@@ -68,11 +68,11 @@
       });
       const taken = to && rooms.get(to.id);
       if (!to || !taken) break;
-      take(taken, job, 1);
+      takeFrom(taken, job);
       moves.push({ key, to: taken, toId: to.id, needs: job });
     }
     if (moves.length < movable.length) {
-      for (const { to, needs } of moves) take(to, needs, -1);
+      for (const { to, needs } of moves) addTo(to, needs);
       continue;
     }
     spare -= room;
@@ -83,12 +83,6 @@
   return chosen;
 }
 
-function take(room: Resources, needs: Resources, sign: 1 | -1): void {
-  room.cpus -= sign * needs.cpus;
-  room.gpus -= sign * needs.gpus;
-  room.memoryGb -= sign * needs.memoryGb;
-}
-
 /** Whether the task may be sent elsewhere: where some jobs' tasks may be is bound to where their others are. */
 function isMovable({ job, canSave }: MovableTask): boolean {
   return canSave && !job.oneZone && !job.spread;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,4 +1,4 @@
-import type { Job, MachineType, Resources } from '../protocol/model';
+import { takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 import { fits, mayUse } from './placement';
 
 export interface FleetMachine {
@@ -59,12 +59,6 @@
   return `${option.type.name}|${option.zone}|${option.spot ? 'spot' : 'ordinary'}`;
 }
 
-function take(room: Resources, needs: Resources): void {
-  room.cpus -= needs.cpus;
-  room.gpus -= needs.gpus;
-  room.memoryGb -= needs.memoryGb;
-}
-
 function capacity(type: MachineType, job: Job): number {
   return Math.floor(
     Math.min(
@@ -114,7 +108,7 @@
         bin = { option, room: { cpus, gpus, memoryGb }, isNew: true };
         bins.push(bin);
       }
-      take(bin.room, job);
+      takeFrom(bin.room, job);
       left -= 1;
     }
   }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -7,6 +7,7 @@
 
 /** Added to a worker's lease before its silence counts as its tasks' end. */
 const DEAD_MARGIN_MS = 500;
+const AVOID_MS = 2_000;
 
 export interface Attempt {
   readonly key: string;
@@ -89,7 +90,10 @@
    * worker's life; it does count, in `answeredAt`, for how long its tasks may live.
    */
   renewedAt: number;
-  /** Since when it has shown no sign of hearing us, though its reports may arrive. */
+  /**
+   * Since when it has shown no sign of hearing us, though its reports may arrive: a command went unanswered, or its
+   * lease ran out though we answered its reports. Until a command is answered, no start leaves for it.
+   */
   deafSince: number | undefined;
   /** The session that an unproven report named: good enough to address a question, and for nothing else. */
   sessionHint = 0;
@@ -101,7 +105,6 @@
   /** A message showed our token: nothing that an earlier owner sent can still start here. */
   settled = false;
   noticeUntil: number | undefined;
-  commandOut = false;
   up: boolean;
   idleSince: number;
   /** Images that it should hold, least recently used first, and their sizes; bounded by the type's cache. */
@@ -115,8 +118,7 @@
   releasing = false;
   /** The cloud confirmed its end: late copies of its reports must bring nothing back. */
   gone = false;
-  /** No starts before this time, after a start that was refused or could not be delivered. */
-  avoidUntil = 0;
+  #avoidUntil = 0;
 
   constructor(
     readonly id: string,
@@ -152,7 +154,7 @@
       this.settled &&
       this.leaving === undefined &&
       !this.sick &&
-      now >= this.avoidUntil &&
+      now >= this.#avoidUntil &&
       // Its reports may arrive while nothing reaches it: what is issued there would be stuck until its lease ends.
       this.deafSince === undefined &&
       // An answer to a command shows that the worker is there, but only an answered report renews its lease. What is
@@ -163,6 +165,11 @@
     );
   }
 
+  /** No starts for a while, after one that was refused or could not be delivered. */
+  avoid(now: number): void {
+    this.#avoidUntil = now + AVOID_MS;
+  }
+
   get attempts(): ReadonlyMap<string, Attempt> {
     return this.#attempts;
   }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -382,9 +382,10 @@
   #shareProgress(): void {
     const jobs = [...this.#owners.values()].flatMap((owner) => (owner.entitled ? owner.progress() : []));
     this.#takeProgress(jobs);
-    const unheard = [...this.#owners.values()].filter((o) =>
-      isUnheard(o.hearing().machines, o.hearing().unheard),
-    );
+    const unheard = [...this.#owners.values()].filter((owner) => {
+      const { machines, unheard } = owner.hearing();
+      return isUnheard(machines, unheard);
+    });
     const progress = {
       ...{ from: this.#deps.node, fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) },
       ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reach.turnedAway() },
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,4 +1,4 @@
-import { PRIORITY_RANK, type Job, type MachineType, type Resources } from '../protocol/model';
+import { PRIORITY_RANK, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 
 /** A job with work waiting, as a round sees it. */
 export interface WaitingJob {
@@ -229,9 +229,7 @@
       for (const { machine, room } of candidates) {
         if (left === 0 || !mayTake()) break;
         while (left > 0 && mayTake() && fits(job, room) && zoneAllows(job, zones, machine.zone)) {
-          room.cpus -= job.cpus;
-          room.gpus -= job.gpus;
-          room.memoryGb -= job.memoryGb;
+          takeFrom(room, job);
           team.cpus += job.cpus;
           team.gpus += job.gpus;
           if (kind === 'aged') {
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,4 +1,11 @@
-import { PRIORITY_RANK, type Job, type MachineType, type Resources } from '../protocol/model';
+import {
+  addTo,
+  PRIORITY_RANK,
+  takeFrom,
+  type Job,
+  type MachineType,
+  type Resources,
+} from '../protocol/model';
 import {
   anywhere,
   fits,
@@ -55,18 +62,6 @@
   return unsavedS <= job.saveS ? { graceS: 0, lossS: unsavedS } : { graceS: job.saveS, lossS: job.saveS };
 }
 
-function add(room: Resources, job: Resources): void {
-  room.cpus += job.cpus;
-  room.gpus += job.gpus;
-  room.memoryGb += job.memoryGb;
-}
-
-function take(room: Resources, job: Resources): void {
-  room.cpus -= job.cpus;
-  room.gpus -= job.gpus;
-  room.memoryGb -= job.memoryGb;
-}
-
 /**
  * Which running tasks to stop so that waiting ones get room: those of a lower priority, and, for a team short of its
  * guarantee, those that another team runs beyond its own. Nothing else is stopped for room.
@@ -84,7 +79,7 @@
   const rooms = new Map<string, Resources>();
   for (const m of input.machines) {
     const room = { ...m.free };
-    for (const v of m.tasks) if (v.stopping) add(room, v.job);
+    for (const v of m.tasks) if (v.stopping) addTo(room, v.job);
     rooms.set(m.id, room);
   }
   const mayStop = (waiting: Job, victim: Victim): boolean => {
@@ -114,7 +109,7 @@
       );
       for (const victim of stoppable) {
         if (fits(job, room)) break;
-        add(room, victim.job);
+        addTo(room, victim.job);
         victims.push(victim);
         loss += victim.lossS * victim.job.cpus;
       }
@@ -126,11 +121,11 @@
     if (!room) return;
     for (const victim of victims) {
       stopped.set(victim.key, machine.id);
-      add(room, victim.job);
+      addTo(room, victim.job);
       const team = useOf(victim.job.team);
       use.set(victim.job.team, { cpus: team.cpus - victim.job.cpus, gpus: team.gpus - victim.job.gpus });
     }
-    take(room, job);
+    takeFrom(room, job);
     const team = useOf(job.team);
     use.set(job.team, { cpus: team.cpus + job.cpus, gpus: team.gpus + job.gpus });
   };
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -1,4 +1,4 @@
-import { PRIORITY_RANK } from '../protocol/model';
+import { PRIORITY_RANK, takeFrom } from '../protocol/model';
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { chooseConsolidation, type SparseMachine } from './consolidation';
@@ -189,7 +189,7 @@
   }
 
   #heedKeepers(now: number): void {
-    if (this.block.keepers.length > 0) this.heedKeeping(now);
+    if (this.block.isKept) this.heedKeeping(now);
   }
 
   /** Some node keeps leases, or has until now: any silent worker may have been answered just now. */
@@ -285,9 +285,7 @@
             fits(job, room) && mayUse(job, { type: m.type, zone: m.record.zone, spot: m.record.spot }),
         );
         if (!found) continue;
-        found.room.cpus -= job.cpus;
-        found.room.gpus -= job.gpus;
-        found.room.memoryGb -= job.memoryGb;
+        takeFrom(found.room, job);
         this.deps.log.info({ job: job.id, task: attempt.task, machine: id }, 'eager re-issue: stop first');
         this.attempts.want(machine, attempt, job.checkpointS > 0 ? job.saveS : 0);
       }
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -10,6 +10,18 @@
   memoryGb: number;
 }
 
+export function addTo(room: Resources, needs: Resources): void {
+  room.cpus += needs.cpus;
+  room.gpus += needs.gpus;
+  room.memoryGb += needs.memoryGb;
+}
+
+export function takeFrom(room: Resources, needs: Resources): void {
+  room.cpus -= needs.cpus;
+  room.gpus -= needs.gpus;
+  room.memoryGb -= needs.memoryGb;
+}
+
 /** An array job as its user described it. */
 export interface Job extends Resources {
   id: string;
