--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -67,6 +67,50 @@
   }
 }
 
+/**
+ * A process's view of the world's time, with the process standing still now and then: what falls due meanwhile happens
+ * all at once afterwards, and time has gone on.
+ */
+export class Process implements Clock {
+  #thaw: Promise<void> | undefined;
+
+  constructor(private readonly clock: FakeClock) {}
+
+  now(): number {
+    return this.clock.now();
+  }
+
+  date(): Date {
+    return this.clock.date();
+  }
+
+  async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    await this.clock.sleep(ms, signal);
+    await this.#thaw;
+  }
+
+  /** It goes on when the function that is returned is called. */
+  freeze(): () => void {
+    let thaw: () => void = () => undefined;
+    this.#thaw = new Promise((resolve) => {
+      thaw = resolve;
+    });
+    return () => {
+      this.#thaw = undefined;
+      thaw();
+    };
+  }
+
+  /** What comes from outside waits until the process goes on. */
+  async reached<T>(from: Promise<T>): Promise<T> {
+    try {
+      return await from;
+    } finally {
+      await this.#thaw;
+    }
+  }
+}
+
 /** Lets everything run that waits for nothing but its turn. */
 async function settle(): Promise<void> {
   for (let turn = 0; turn < 3; turn += 1) await new Promise((resolve) => setImmediate(resolve));
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -4,7 +4,7 @@
 import { createRoutes } from '../../src/coordination/routes';
 import { codec } from '../../src/protocol/codec';
 import type { Answer } from '../../src/transport/http-client';
-import { FakeClock } from './clock';
+import { FakeClock, Process } from './clock';
 import { FakeNetwork, type Request } from './network';
 import { FakeStateService } from './state-service';
 import { FakeWorker, type JobFacts } from './worker';
@@ -26,6 +26,7 @@
   name: string;
   address: string;
   node: Node;
+  process: Process;
   alive: boolean;
 }
 
@@ -90,8 +91,10 @@
       },
       this.options.operator ?? {},
     );
+    const process = new Process(this.clock);
+    const caller = this.network.caller(own.name);
     const node = new Node(settings, {
-      clock: this.clock,
+      clock: process,
       startedAt: this.clock.now(),
       random: {
         uniqueName: () => {
@@ -100,19 +103,21 @@
         },
       },
       log: quiet,
-      http: this.network.caller(own.name),
+      http: { call: (...request) => process.reached(caller.call(...request)) },
       broadcast: (bytes) => {
         if (this.silencePeers || this.mutes.has(own.name)) return;
         for (const other of this.controllers) {
           const cut =
             this.apart.has(`${own.name}|${other.name}`) || this.apart.has(`${other.name}|${own.name}`);
-          if (other.alive && !cut && !this.mutes.has(other.name) && other.name !== own.name)
+          if (!other.alive || cut || this.mutes.has(other.name) || other.name === own.name) continue;
+          void other.process.reached(Promise.resolve()).then(() => {
             other.node.onPeerFrame(Buffer.from(bytes));
+          });
         }
       },
     });
     const routes = createRoutes(node, quiet);
-    const controller = { ...own, node, alive: true };
+    const controller = { ...own, node, process, alive: true };
     this.controllers[index] = controller;
     this.network.attach(own.address, async ({ method, path, body }) => {
       const [, head = '', id = '', verb = ''] = path.split('/');
@@ -120,6 +125,7 @@
       const route = routes.find((r) => r.method === method && r.url === url);
       if (!route) return { status: 404, body: null };
       const bytes = body === undefined ? new Uint8Array(0) : codec.encode(body);
+      await process.reached(Promise.resolve());
       const reply = await route.handle({ params: { id }, body: bytes });
       // A process that was killed meanwhile says no more.
       if (!controller.alive) return new Promise(() => undefined);
@@ -142,6 +148,13 @@
     this.#addController(index);
   }
 
+  /** The controller's process stands still, while its clocks go on, until the function that is returned is called. */
+  freeze(index: number): () => void {
+    const controller = this.controllers[index];
+    assert(controller?.alive);
+    return controller.process.freeze();
+  }
+
   /** The index of the controller that owns block 0 and may act, or -1. */
   get owner(): number {
     return this.controllers.findIndex((c) => c.alive && c.node.owners.get(0)?.entitled === true);
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -216,3 +216,54 @@
     world.noRuleBroken();
   }
 });
+
+test('an owner that stood still for longer than all leases finds that out before it acts', async () => {
+  const world = new World({ limitCpus: 12 });
+  await world.submit('req-1', { pieces: 4, crew: 'red' }, 60);
+  await world.submit('req-2', { pieces: 6 }, 4);
+  await world.until('4 tasks run', () => world.running.filter((p) => p.startsWith('req-1/')).length >= 4);
+  const before = world.running.filter((p) => p.startsWith('req-1/')).map((p) => `${p} ${world.where(p)}`);
+  const old = world.owner;
+  const thaw = world.freeze(old);
+  const reader = (old + 1) % 3;
+  // It was about to issue these, and never hears that one of them is cancelled.
+  await world.submit('req-3', { pieces: 20, crew: 'red' }, 15, reader);
+  await world.submit('req-4', { pieces: 3 }, 90, reader);
+  await world.clock.advance(8_000);
+  assert.equal(await world.cancel('req-4', reader), 'withdrawn');
+  await world.clock.advance(24_000);
+  const owner = world.controllers.findIndex((c, i) => i !== old && c.node.owners.get(0)?.entitled === true);
+  assert.ok(owner >= 0, 'another controller has taken the block');
+  thaw();
+  await world.clock.advance(50);
+  assert.equal(world.controllers[old]?.node.owners.get(0)?.entitled ?? false, false);
+  for (const entry of before)
+    assert.ok(
+      world.running.some((p) => `${p} ${world.where(p)}` === entry),
+      entry,
+    );
+  await world.untilStanding('req-3', 'done', 120, reader);
+  await world.untilStanding('req-1', 'done', 120, old);
+  assert.equal(await world.standing('req-4', old), 'withdrawn');
+  world.noRuleBroken();
+});
+
+test('a controller that slept takes no block from those who stayed awake', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 4 }, 60);
+  await world.until('4 tasks run', () => world.running.length >= 4);
+  const owner = world.owner;
+  const other = (owner + 1) % 3;
+  const before = world.running.map((p) => `${p} ${world.where(p)}`);
+  const thaw = world.freeze(other);
+  await world.clock.advance(20_000);
+  thaw();
+  await world.clock.advance(10_000);
+  assert.equal(world.owner, owner);
+  assert.deepEqual(
+    world.running.map((p) => `${p} ${world.where(p)}`),
+    before,
+  );
+  await world.untilStanding('req-1', 'done', 120, other);
+  world.noRuleBroken();
+});
