--- a/src/base/sockets.ts
+++ b/src/base/sockets.ts
@@ -2,6 +2,8 @@
 export interface SocketShares {
   /** Connections that come in on the public address, all together. */
   readonly inbound: number;
+  /** Connections that the system holds ready for us. */
+  readonly backlog: number;
   /** Of these, how many workers may hold. What is left over is always the users' and the health probe's. */
   readonly workers: number;
   /** Commands that may be out at once. */
@@ -17,8 +19,14 @@
 /** To and from each other node; as many again that an end or a cut left half open. */
 const PER_PEER = 4;
 const EXTERNAL = 24;
-const COMMANDS_PART = 1 / 8;
-const IDLE_PART = 1 / 16;
+const COMMANDS_PART = 1 / 10;
+const IDLE_PART = 1 / 20;
+/**
+ * When an owner is gone its workers all come at once. What waits here for longer than they do is answered in vain, and
+ * the next in line is late for it: after a while nobody is served in time. So few wait, and the others are refused by
+ * the system, at no cost to us, and come again a second later.
+ */
+const BACKLOG = 128;
 const WORKERS_PART = 7 / 8;
 
 /**
@@ -29,6 +37,7 @@
   const commands = Math.floor(limit * COMMANDS_PART);
   const idle = Math.floor(limit * IDLE_PART);
   const external = Math.min(EXTERNAL, Math.floor(limit / 16));
-  const inbound = limit - OWN - PER_PEER * others - commands - idle - 2 * external;
-  return { inbound, workers: Math.floor(inbound * WORKERS_PART), commands, idle, external };
+  const backlog = Math.min(BACKLOG, Math.floor(limit / 16));
+  const inbound = limit - OWN - PER_PEER * others - commands - idle - 2 * external - backlog;
+  return { inbound, backlog, workers: Math.floor(inbound * WORKERS_PART), commands, idle, external };
 }
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -14,6 +14,8 @@
 const MAX_BODY_BYTES = 64 * 1024;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 const USAGE_MS = 10_000;
+/** A node that can't learn what it needs says so itself after this long. */
+const LISTEN_AFTER_MS = 3_000;
 const MB = 1024 * 1024;
 
 /** One line every now and then, by which an operator sees what this process uses of its quota. */
@@ -80,7 +82,11 @@
   for (const peer of peers) void peer.run();
   node.start();
   const [host, port] = platform.bind.split(':');
-  await server.listen({ host: host ?? '', port: Number(port) });
+  // Until then all it could say is 'not now'. Workers that lost their owner all come at once, and again every second:
+  // refusing them by not listening costs nothing, while answering them kept a node that starts from ever being ready.
+  const listenBy = systemClock.now() + LISTEN_AFTER_MS;
+  while (!node.informed && systemClock.now() < listenBy) await systemClock.sleep(10);
+  await server.listen({ host: host ?? '', port: Number(port), backlog: sockets.backlog });
   void runLoop('usage', () => reportUsage(log, connections), { clock: systemClock, log, signal });
   log.info({ bind: platform.bind, back: platform.back, blockLeaseMs: settings.blockLeaseMs }, 'serving');
 }
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -9,6 +9,11 @@
 const MAX_ORDERS = 200;
 /** Between two questions to a machine that has not shown our token, or that hears nothing. */
 const ASK_EVERY_MS = 1_000;
+/**
+ * Questions that may be out at once. After a takeover the workers of a large fleet all come to report while we ask
+ * them: with more questions under way, their answers and the reports would wait for each other.
+ */
+const MOST_ASKED = 96;
 
 /** Sends each worker the difference between what is wanted of it and what is on it. */
 export class Commander {
@@ -16,6 +21,10 @@
   readonly #due = new Set<Machine>();
   readonly #out = new Set<Machine>();
   readonly #mostOut: number;
+  readonly #mostAsked: number;
+  /** Machines with a question to come, the last one first. */
+  #toAsk: Machine[] = [];
+  #listedAt = -Infinity;
 
   constructor(
     private readonly block: Block,
@@ -24,6 +33,7 @@
     private readonly absorb: (machine: Machine, report: Report) => void,
   ) {
     this.#mostOut = deps.settings.sockets.commands;
+    this.#mostAsked = Math.min(MOST_ASKED, this.#mostOut);
   }
 
   /** The machine is to be sent its orders at the end of the round. */
@@ -47,7 +57,7 @@
 
   /**
    * Asks machines directly that have not shown our token yet, for their reports may be on their way elsewhere, and
-   * those that seem to hear nothing. All at once would take a socket each: the longest unasked go first.
+   * those that seem to hear nothing. The longest unasked go first, the next as answers come in.
    */
   ask(now: number): void {
     const due = new Set(this.block.unsettled);
@@ -56,9 +66,20 @@
     for (const m of this.block.machines.values()) {
       if (m.deafSince !== undefined || (kept && m.isSilent(now, this.block.timing.missedMs))) due.add(m);
     }
-    for (const machine of [...due].sort((a, b) => a.probedAt - b.probedAt)) {
-      if (!machine.up || machine.gone) continue;
-      if (this.#out.size >= this.#mostOut) return;
+    this.#listedAt = now;
+    this.#toAsk = [...due].sort((a, b) => b.probedAt - a.probedAt);
+    this.#askNext();
+  }
+
+  #askNext(): void {
+    const now = this.deps.clock.now();
+    while (this.#out.size < this.#mostAsked && this.block.entitled) {
+      const machine = this.#toAsk.pop();
+      if (!machine) return;
+      // What it reported meanwhile may have told what was to be asked.
+      const told =
+        machine.settled && machine.deafSince === undefined && (machine.heardAt ?? -1) >= this.#listedAt;
+      if (!machine.up || machine.gone || told) continue;
       if (now - machine.probedAt < ASK_EVERY_MS || this.#out.has(machine)) continue;
       machine.probedAt = now;
       this.#command(machine, true);
@@ -116,6 +137,7 @@
           this.#answered(machine, session, sent, result);
         }
         this.flush();
+        this.#askNext();
       })
       .catch((error: unknown) => {
         this.deps.log.error({ machine: machine.id, err: describe(error) }, 'a command failed');
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -34,9 +34,8 @@
 
 const STATE_TIMEOUT_MS = 1_500;
 const CLOUD_TIMEOUT_MS = 5_000;
-/** This node's part of the limits that all nodes share: one may take more than a third, for others take less. */
+/** This node's part of the limits that all nodes share: one may take more than its share, for others take less. */
 const RATE_PART = 0.6;
-const RATE_PARTS = 2;
 const CLOUD_RATE_PART = 0.7;
 const WATCH_PACE_MS = 100;
 const WATCHES_PER_LEASE = 5;
@@ -85,15 +84,13 @@
     const { clock, log, http, random } = outside;
     const { platform } = settings;
     const { state, cloud } = platform.deployment;
-    // With more controllers each takes less; those that own nothing need little.
-    const part = Math.min(RATE_PART, RATE_PARTS / (platform.others.length + 1));
     const stateStore =
       store ??
       new HttpStateStore(
         http,
         platform.external.state,
-        new RateLimit(clock, state.rps * part, state.rps * part),
-        new RateLimit(clock, state.write_rps * part, state.write_rps * part),
+        new RateLimit(clock, state.rps * RATE_PART, state.rps * RATE_PART),
+        new RateLimit(clock, state.write_rps * RATE_PART, state.write_rps * RATE_PART),
         STATE_TIMEOUT_MS,
       );
     const cloudRate = new RateLimit(
@@ -173,6 +170,11 @@
     return this.#types;
   }
 
+  /** Whether it knows enough to answer anybody. */
+  get informed(): boolean {
+    return this.#cache.loaded && this.#types.length > 0;
+  }
+
   get owners(): ReadonlyMap<number, BlockOwner> {
     return this.#owners;
   }
@@ -186,7 +188,7 @@
    * lost it, going elsewhere would not help. One that hears nothing of the others either is likely cut off itself.
    */
   get ready(): boolean {
-    if (!this.#cache.loaded || this.#types.length === 0) return false;
+    if (!this.informed) return false;
     if (this.#fresh || this.settings.platform.others.length === 0) return true;
     if (this.outside.clock.now() - this.#peersHeardAt > PEER_MEMORY_MS) return false;
     // In an outage all lose it, though not all notice at the same moment: each removal by the load balancer makes the
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -15,8 +15,8 @@
     [2500, 2, 1500],
     [700, 2, 322],
   ] as const) {
-    const { inbound, workers, commands, idle, external } = shareSockets(limit, others);
-    assert.ok(inbound + commands + idle + 2 * external + 4 * others < limit);
+    const { inbound, backlog, workers, commands, idle, external } = shareSockets(limit, others);
+    assert.ok(inbound + backlog + commands + idle + 2 * external + 4 * others < limit);
     assert.ok(workers >= machines, `${limit}: ${workers} workers`);
     assert.ok(inbound - workers >= 50, 'users can always come in');
   }
