--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -33,7 +33,12 @@
 const nodeRecord = z.object({ lease: z.int() });
 const leaderRecord = z.object({ node: z.string() });
 const batonRecord = z.object({ next: count });
-const blockRecord = z.object({ owner: z.string(), teams: z.array(z.string()) });
+const blockRecord = z.object({
+  owner: z.string(),
+  teams: z.array(z.string()),
+  /** The node that took the block last. */
+  holder: z.string().optional(),
+});
 const leaseRecord = z.object({ owner: z.string(), token: count });
 const machineRecord = z.object({
   block: count,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -77,11 +77,12 @@
     const { cache, store, settings, log } = this.deps;
     const { teams } = settings.platform.deployment;
     const { blocks } = settings.operator;
+    const key = KEY.block(block);
     const value: BlockRecord = {
+      ...read.block(cache.get(key)?.value),
       owner,
       teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
     };
-    const key = KEY.block(block);
     const result = await store.txn(
       [
         { key, version: cache.version(key) },
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -4,7 +4,7 @@
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
 import { JobStore } from '../bookkeeping/job-store';
-import { KEY, LIVE, PREFIX, read } from '../bookkeeping/records';
+import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import { Session } from '../bookkeeping/session';
 import { WatchCache } from '../bookkeeping/watch-cache';
 import { Cloud } from '../protocol/cloud';
@@ -306,7 +306,7 @@
         await store.txn([{ key: held.key, version: held.version }], [{ delete: held.key }], true);
         continue;
       }
-      if (held || !this.#vouching.mayTake) continue;
+      if (held || !this.#mayTake(record)) continue;
       const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
       const value = { owner: node, token: next };
       const result = await store.txn(
@@ -318,6 +318,7 @@
         [
           { put: KEY.baton, value: { next } },
           { put: KEY.lease(block), value, lease: session.lease },
+          { put: KEY.block(block), value: { ...record, holder: node } },
         ],
         true,
       );
@@ -334,6 +335,15 @@
     }
   }
 
+  /**
+   * Before its end this process may have promised another to take nothing from it. Not if this node itself held the
+   * block last, or nobody ever did: then there is nobody to be promised anything, and workers' leases are running out.
+   */
+  #mayTake({ holder }: BlockRecord): boolean {
+    const neverHeld = this.#cache.get(KEY.baton) === undefined;
+    return this.#vouching.mayTake || neverHeld || holder === this.#deps.node;
+  }
+
   /** A node that is cut from most workers of its block gives it to one that they come to instead. */
   async #handOver(owner: BlockOwner): Promise<void> {
     const { machines, unheard } = owner.hearing();
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -267,3 +267,28 @@
   await world.untilStanding('req-1', 'done', 120, other);
   world.noRuleBroken();
 });
+
+test('when all die, the one that held the block takes it as soon as it is back; any other keeps its promise first', async () => {
+  const world = new World();
+  const firstAt = world.clock.now();
+  const old = await world.untilOwned();
+  assert.ok(world.clock.now() - firstAt < 1_000, 'nobody can have been promised a block that was never held');
+  await world.submit('req-1', { pieces: 4 }, 60);
+  await world.until('4 tasks run', () => world.running.length >= 4);
+  const killAll = (): void => {
+    for (const index of [0, 1, 2]) world.kill(index);
+  };
+  killAll();
+  await world.clock.advance(4_000);
+  let backAt = world.clock.now();
+  for (const index of [0, 1, 2]) world.restart(index);
+  assert.equal(await world.untilOwned(), old);
+  assert.ok(world.clock.now() - backAt < 1_500, `${world.clock.now() - backAt} ms`);
+  killAll();
+  await world.clock.advance(4_000);
+  backAt = world.clock.now();
+  for (const index of [0, 1, 2]) if (index !== old) world.restart(index);
+  assert.notEqual(await world.untilOwned(), old);
+  assert.ok(world.clock.now() - backAt >= 2_500, `${world.clock.now() - backAt} ms`);
+  world.noRuleBroken();
+});
