--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -10,6 +10,8 @@
   constructor(
     private readonly deps: Deps,
     private readonly cloud: CloudView,
+    /** Whether this process began so lately that it may still be bound by a promise. */
+    private readonly isYoung: () => boolean,
   ) {}
 
   get isLeader(): boolean {
@@ -48,6 +50,10 @@
     const orphans: number[] = [];
     for (let block = 0; block < blocks; block += 1) {
       const record = read.block(cache.get(KEY.block(block))?.value);
+      if (record && this.#wantsBack(record, block, load)) {
+        await this.#give(block, record.holder);
+        return;
+      }
       const held = record && load.get(record.owner);
       if (record && held !== undefined) load.set(record.owner, held + 1);
       else orphans.push(block);
@@ -61,6 +67,17 @@
     await this.#balance(load);
   }
 
+  /** After the end of all nodes the one that held the block last may take it at once; the others wait a while. */
+  #wantsBack(
+    record: BlockRecord,
+    block: number,
+    nodes: ReadonlyMap<string, number>,
+  ): record is BlockRecord & { holder: string } {
+    const { owner, holder } = record;
+    if (!this.isYoung() || holder === undefined || holder === owner || !nodes.has(holder)) return false;
+    return this.deps.cache.get(KEY.lease(block)) === undefined;
+  }
+
   /** After a death some node has more blocks than another that came back: one at a time, they are spread again. */
   async #balance(load: ReadonlyMap<string, number>): Promise<void> {
     const sorted = [...load].sort((a, b) => a[1] - b[1]);
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -113,7 +113,7 @@
       types: () => this.#types,
     };
     this.#cloudView = new CloudView(cloudApi, clock);
-    this.#leader = new Leader(this.#deps, this.#cloudView);
+    this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#vouching.mayTake);
     this.#vouching = new Vouching(
       this.#deps,
       (message) => {
