--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -10,10 +10,14 @@
 /** Between two questions to a machine that has not shown our token, or that hears nothing. */
 const ASK_EVERY_MS = 1_000;
 /**
- * Questions that may be out at once. After a takeover the workers of a large fleet all come to report while we ask
- * them: with more questions under way, their answers and the reports would wait for each other.
+ * After a takeover the workers of a large fleet all come to report. A report costs a tenth of a question, and each turn
+ * of the event loop accepts one connection: asked all at once, they could not get through for ten seconds and more, and
+ * lost their leases. So only a small fleet is asked at once, others after their workers had time to come by themselves,
+ * and few questions are out at a time.
  */
-const MOST_ASKED = 96;
+const ASKED_AT_ONCE = 64;
+const ASK_PATIENCE_MS = 2_500;
+const MOST_ASKED = 24;
 
 /** Sends each worker the difference between what is wanted of it and what is on it. */
 export class Commander {
@@ -60,7 +64,10 @@
    * those that seem to hear nothing. The longest unasked go first, the next as answers come in.
    */
   ask(now: number): void {
-    const due = new Set(this.block.unsettled);
+    const { unsettled } = this.block;
+    const due = new Set(
+      [...unsettled].filter((m) => unsettled.size <= ASKED_AT_ONCE || now - m.firstSeenAt > ASK_PATIENCE_MS),
+    );
     // Workers that another node keeps may be within our reach all the same: their reports go there, so we ask.
     const kept = this.block.isKept;
     for (const m of this.block.machines.values()) {
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -258,8 +258,8 @@
           // One that reports but hears nothing is as good as silent.
           heardAt: Math.min(m.heardAt ?? m.firstSeenAt, m.deafSince ?? Infinity),
           busy: m.busy,
-          // All that waits in the block waits for it: it was asked directly again and again, and gave no answer.
-          holdsUp: !m.settled,
+          // All that waits in the block waits for it: it was asked directly, and gave no answer.
+          holdsUp: !m.settled && m.deafSince !== undefined,
         })),
       now,
       missedMs: timing.missedMs,
