--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -3,6 +3,9 @@
 
 const REMEMBERED_DELETES = 2000;
 
+/** Told of a change, and of the value that was there before. */
+type Listener = (event: Event, before: unknown) => void;
+
 /**
  * A copy of all live records, kept by one watch. `freshAt` is the steady time at which the last answered watch was
  * sent: everything that was written before it is in the copy.
@@ -13,13 +16,15 @@
   readonly #kinds = new Map<string, Map<string, Entry>>();
   /** Deletions that a nudge told us of ahead of the watch; a nudge that comes later must not bring the key back. */
   readonly #deletedAt = new Map<string, number>();
-  readonly #listeners: ((event: Event) => void)[] = [];
+  readonly #listeners: Listener[] = [];
   #revision = 0;
   /** Deletions after this revision are all remembered. */
   #deletesFrom = Infinity;
   #loaded = false;
   #openedAt = -Infinity;
   freshAt = -Infinity;
+  /** Steady time since when every change has come here. */
+  loadedAt = Infinity;
 
   constructor(
     private readonly store: StateStore,
@@ -39,7 +44,7 @@
     return this.#revision;
   }
 
-  onChange(listener: (event: Event) => void): void {
+  onChange(listener: Listener): void {
     this.#listeners.push(listener);
   }
 
@@ -85,6 +90,7 @@
     const news = await this.store.changes(this.prefix, this.#revision, this.holdMs);
     if (!news) {
       this.#loaded = false;
+      this.loadedAt = Infinity;
       return;
     }
     for (const event of news.events) this.#apply(event);
@@ -128,6 +134,7 @@
     this.#deletesFrom = first;
     this.freshAt = sentAt;
     this.#loaded = true;
+    this.loadedAt = this.clock.now();
   }
 
   #apply(event: Event): void {
@@ -144,6 +151,6 @@
       this.#entries.set(event.key, entry);
       this.#kind(event.key).set(event.key, entry);
     }
-    for (const listener of this.#listeners) listener(event);
+    for (const listener of this.#listeners) listener(event, held?.value);
   }
 }
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -116,7 +116,6 @@
   use(): Map<string, TeamUse> {
     const use = this.holdings.use();
     if (this.allKnown) return use;
-    // What can't be seen yet may all belong to any one team.
     const machines = this.holdings.nameless > 0 ? this.machines.values() : this.unsettled;
     let cpus = 0;
     let gpus = 0;
@@ -125,13 +124,36 @@
       cpus += machine.type.cpus;
       gpus += machine.type.gpus;
     }
+    const most = this.#mostUnseen();
     for (const name of this.teams.keys()) {
       const team = use.get(name) ?? { cpus: 0, gpus: 0 };
-      use.set(name, { cpus: team.cpus + cpus, gpus: team.gpus + gpus });
+      // What can't be seen yet may all belong to any one team, as far as it has tasks that can't be seen.
+      const unseen = most?.get(name) ?? { cpus: most ? 0 : Infinity, gpus: most ? 0 : Infinity };
+      use.set(name, {
+        cpus: team.cpus + Math.min(cpus, unseen.cpus),
+        gpus: team.gpus + Math.min(gpus, unseen.gpus),
+      });
     }
     return use;
   }
 
+  /**
+   * The most that each team's tasks can use on machines that are not known yet: those of its jobs from before we took
+   * the block that were not found anywhere, and those of jobs that ended lately. Counted in full, the machines of a
+   * zone that is cut off would fill every team's limit by themselves. Undefined: nobody here knows which jobs ended.
+   */
+  #mostUnseen(): Map<string, { cpus: number; gpus: number }> | undefined {
+    const most = this.deps.ended.use();
+    if (!most) return undefined;
+    for (const { job, unassigned, version } of this.tables.values()) {
+      if (version > this.takenRevision) continue;
+      const sum = most.get(job.team) ?? { cpus: 0, gpus: 0 };
+      const { cpus, gpus } = job;
+      most.set(job.team, { cpus: sum.cpus + unassigned * cpus, gpus: sum.gpus + unassigned * gpus });
+    }
+    return most;
+  }
+
   /** When a job should be done, on the time-of-day clock: its deadline, or what the aims say of its class. */
   #dueAt(table: DispatchTable): number {
     const { job } = table;
--- a/src/coordination/deps.ts
+++ b/src/coordination/deps.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import type { EndedJobs } from '../bookkeeping/ended-jobs';
 import type { JobStore } from '../bookkeeping/job-store';
 import type { Session } from '../bookkeeping/session';
 import type { WatchCache } from '../bookkeeping/watch-cache';
@@ -21,6 +22,7 @@
   readonly cache: WatchCache;
   readonly session: Session;
   readonly jobs: JobStore;
+  readonly ended: EndedJobs;
   readonly cloud: Cloud;
   /** For calls to workers. */
   readonly workers: HttpCaller;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -3,6 +3,7 @@
 import { runLoop } from '../base/loop';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import { EndedJobs } from '../bookkeeping/ended-jobs';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import { Session } from '../bookkeeping/session';
@@ -109,6 +110,7 @@
     this.jobs = new JobStore(stateStore, clock, announce);
     this.#deps = {
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
+      ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
       ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers: http, announce },
       types: () => this.#types,
     };
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -217,6 +217,35 @@
   }
 });
 
+test('a limit is not taken for full by machines out of reach beyond what the team can have there', async () => {
+  for (const [cpus, cancelled, startsEarly] of [
+    [1, false, true],
+    [4, false, false],
+    [4, true, false],
+  ] as const) {
+    const world = new World({ limitCpus: 4 });
+    world.addWorker('b');
+    world.addWorker('b');
+    // Long enough for every controller to have seen each job end whose tasks may still be anywhere.
+    await world.clock.advance(50_000);
+    await world.submit('req-1', { crew: 'red', pieces: 1, cpus }, 60);
+    await world.until('1 tasks run', () => world.running.length >= 1);
+    const machine = world.where('req-1/0') ?? '';
+    const { address } = world.worker(machine);
+    world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    world.network.rule(({ from, to }) => (from === machine || to === address ? 'lose' : undefined));
+    if (cancelled) assert.equal(await world.cancel('req-1'), 'withdrawn');
+    world.kill(world.owner);
+    await world.clock.advance(100);
+    const owner = await world.untilOwned();
+    await world.submit('req-2', { crew: 'red', pieces: 1 }, 5, owner);
+    await world.clock.advance(7000);
+    const began = world.where('req-2/0') !== undefined || (await world.standing('req-2', owner)) === 'done';
+    assert.equal(began, startsEarly, `${cpus} CPUs, cancelled: ${cancelled}`);
+    world.noRuleBroken();
+  }
+});
+
 test('an owner that stood still for longer than all leases finds that out before it acts', async () => {
   const world = new World({ limitCpus: 12 });
   await world.submit('req-1', { pieces: 4, crew: 'red' }, 60);
