--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -17,6 +17,8 @@
   /** Machines that an earlier owner's starts may still reach: no message of theirs has shown our token. */
   readonly unsettled = new Set<Machine>();
   readonly timing: { readonly missedMs: number; readonly silentReleaseMs: number; readonly leaseMs: number };
+  /** Steady time at which this owner took it. */
+  readonly takenAt: number;
   stopped = false;
   #counter = 0;
 
@@ -30,6 +32,7 @@
     /** Work for a round. */
     readonly wake: () => void,
   ) {
+    this.takenAt = deps.clock.now();
     const { operator, platform } = deps.settings;
     const { report_s, lease_s } = platform.deployment.workers;
     this.teams = new Map(
--- a/src/coordination/keeping.ts
+++ b/src/coordination/keeping.ts
@@ -1,7 +1,7 @@
 import { KEY, read } from '../bookkeeping/records';
 import type { Order, Report } from '../protocol/model';
 import type { Deps } from './deps';
-import type { Reach } from './reach';
+import { SILENT_MS, type Reach } from './reach';
 
 /** How long a node goes on keeping after it last had a reason to. */
 const LINGER_MS = 3_000;
@@ -17,11 +17,14 @@
   /** Blocks that our record, acknowledged and never taken back since, says we keep. */
   readonly #kept = new Set<number>();
   readonly #neededAt = new Map<number, number>();
+  readonly #startedAt: number;
 
   constructor(
     private readonly deps: Deps,
     private readonly reach: Reach,
-  ) {}
+  ) {
+    this.#startedAt = deps.clock.now();
+  }
 
   /** One step: writes or deletes our records. To be run in a loop, and whenever a peer may have become unreachable. */
   async step(): Promise<void> {
@@ -34,7 +37,10 @@
     for (let block = 0; block < settings.operator.blocks; block += 1) {
       const lease = read.lease(cache.get(KEY.lease(block))?.value);
       const key = KEY.keep(block, node);
-      if (lease && lease.owner !== node && !this.reach.reaches(lease.owner, block)) {
+      // A node that starts has heard nobody yet. Kept for nothing, silent workers would count as answered just now, and
+      // a block that was taken over lately would wait for them for another lease.
+      const hasListened = now - this.#startedAt > SILENT_MS;
+      if (lease && lease.owner !== node && hasListened && !this.reach.reaches(lease.owner, block)) {
         this.#neededAt.set(block, now);
       }
       const needed =
--- a/src/coordination/reach.ts
+++ b/src/coordination/reach.ts
@@ -4,7 +4,7 @@
 /** How long what a peer said, or a report that was turned away, counts. */
 const MEMORY_MS = 6_000;
 /** Peers speak about once a second: one that was silent for longer may be cut off. */
-const SILENT_MS = 2_500;
+export const SILENT_MS = 2_500;
 /** An owner that does not hear this part of its workers, while another node does, gives its block to that node. */
 const MOST = 0.7;
 
--- a/test/zones.test.ts
+++ b/test/zones.test.ts
@@ -101,3 +101,19 @@
   owner.onChange({ key: 'live/keep/0/node-1', version: 10 ** 6, deleted: true });
   assert.equal(machine.answeredAt, world.clock.now());
 });
+
+test('a controller that comes back keeps no leases while it has yet to hear the others', async () => {
+  const world = new World();
+  const owner = await world.untilOwned();
+  const other = (owner + 1) % 3;
+  for (let round = 0; round < 3; round += 1) {
+    world.kill(other);
+    await world.clock.advance(2_000);
+    world.restart(other);
+    for (let step = 0; step < 60; step += 1) {
+      await world.clock.advance(100);
+      assert.ok(![...world.state.data.keys()].some((key) => key.startsWith('live/keep/')));
+    }
+  }
+  world.noRuleBroken();
+});
