--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -224,7 +224,12 @@
       this.deps.log.debug({ block, machine: machine.id, attempts: machine.attempts.size }, 'machine settled');
       this.#wake.wake();
     }
-    if (silentBefore) this.#wake.wake();
+    if (silentBefore) {
+      // Out of reach it was of no use to anybody: counted as idle all that time, the machines of a zone that had been cut
+      // off were returned by the hundred the moment they came back, before any waiting task could be placed there.
+      machine.idleSince = now;
+      this.#wake.wake();
+    }
     if (machine.leaving === 'silent' && !machine.releasing && machine.deafSince === undefined)
       machine.leaving = undefined;
     this.#attempts.apply(machine, changes);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -41,6 +41,8 @@
   /** CPUs that running work will free before a new machine could be up. */
   readonly freeingCpus: number;
   readonly idleReleaseMs: number;
+  /** Whether all that waits may be placed: before, empty machines are waiting for it. */
+  readonly allMayStart: boolean;
   /** Idle CPUs to keep for work that should start at once. */
   readonly warmCpus: number;
   readonly freeCpus: number;
@@ -120,7 +122,7 @@
     rental.count += 1;
     rentals.set(key, rental);
   }
-  return { rent: [...rentals.values()], release: chooseReleases(input) };
+  return { rent: [...rentals.values()], release: input.allMayStart ? chooseReleases(input) : [] };
 }
 
 function cheapest(
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -388,6 +388,10 @@
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
     const types = this.deps.types();
-    return { unplaced, machines, types, refused, freeingCpus, idleReleaseMs, warmCpus, freeCpus };
+    const allMayStart = block.allKnown;
+    return {
+      ...{ unplaced, machines, types, refused, freeingCpus },
+      ...{ idleReleaseMs, allMayStart, warmCpus, freeCpus },
+    };
   }
 }
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -165,7 +165,7 @@
     ],
     types: [type],
     refused: () => false,
-    ...{ freeingCpus: 2, idleReleaseMs: 20_000, warmCpus: 8, freeCpus: 12 },
+    ...{ freeingCpus: 2, idleReleaseMs: 20_000, allMayStart: true, warmCpus: 8, freeCpus: 12 },
   };
   const plan = planFleet(input);
   assert.deepEqual(
--- a/test/zones.test.ts
+++ b/test/zones.test.ts
@@ -117,3 +117,38 @@
   }
   world.noRuleBroken();
 });
+
+test('machines that come back from a cut are used for what waits, not returned as idle', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 24, reckonS: 300 }, 300);
+  await world.until('24 tasks run', () => world.running.length >= 24);
+  // Old enough for an empty one to be returned.
+  await world.clock.advance(70_000);
+  world.capacity = 0;
+  const used = [...new Set(world.running.map((piece) => world.where(piece) ?? ''))];
+  const far = used.slice(0, used.length / 2);
+  const addresses = far.map((id) => world.worker(id).address);
+  let out = far.length;
+  world.network.rule(({ from, to }) => {
+    const index = Math.max(far.indexOf(from), addresses.indexOf(to));
+    return index >= 0 && index < out ? 'lose' : undefined;
+  });
+  // Returning the one that stays out of reach would settle what is on it: no return is heard.
+  const returned = new Set<string>();
+  world.network.rule(({ path, body }) => {
+    if (path !== '/hosts/release') return undefined;
+    for (const id of (body as { hearths: string[] }).hearths) returned.add(id);
+    return 'lose';
+  });
+  await world.clock.advance(5_000);
+  world.kill(world.owner);
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  // Something is wanted of the fleet, though what waits may not start yet: one machine is still out of reach.
+  await world.submit('req-2', { pieces: 1, loaners: false }, 5, owner);
+  await world.clock.advance(4_000);
+  out = 1;
+  await world.until('20 tasks run again', () => world.running.length >= 20, 20);
+  assert.deepEqual([...returned], far.slice(0, 1));
+  world.noRuleBroken();
+});
