--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -54,7 +54,10 @@
     startedAt: 0,
     random: systemRandom,
     log,
-    http: new HttpClient(codec, { perHost: sockets.external, idle: sockets.idle }, MAX_ANSWER_BYTES),
+    // Apart, for the idle connections of many workers must not push out those to the state service: opening one anew
+    // fails when sockets have run out, and with it a lease's renewal.
+    http: new HttpClient(codec, { perHost: sockets.external, idle: 2 * sockets.external }, MAX_ANSWER_BYTES),
+    workers: new HttpClient(codec, { perHost: 1, idle: sockets.idle }, MAX_ANSWER_BYTES),
     broadcast: (bytes) => {
       for (const peer of peers) peer.send(bytes);
     },
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -28,7 +28,10 @@
   startedAt: number;
   random: Random;
   log: Log;
+  /** For calls to state service and cloud. */
   http: HttpCaller;
+  /** For calls to workers. */
+  workers: HttpCaller;
   /** Sends to all other nodes; best effort. */
   broadcast(bytes: Uint8Array): void;
 }
@@ -82,7 +85,7 @@
     private readonly outside: Outside,
     store?: StateStore,
   ) {
-    const { clock, log, http, random } = outside;
+    const { clock, log, http, workers, random } = outside;
     const { platform } = settings;
     const { state, cloud } = platform.deployment;
     const stateStore =
@@ -111,7 +114,7 @@
     this.#deps = {
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
       ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
-      ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers: http, announce },
+      ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers, announce },
       types: () => this.#types,
     };
     this.#cloudView = new CloudView(cloudApi, clock);
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -104,6 +104,7 @@
       },
       log: quiet,
       http: { call: (...request) => process.reached(caller.call(...request)) },
+      workers: { call: (...request) => process.reached(caller.call(...request)) },
       broadcast: (bytes) => {
         if (this.silencePeers || this.mutes.has(own.name)) return;
         for (const other of this.controllers) {
