--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -260,7 +260,7 @@
       this.#scheduler.housekeep(now);
       this.#commander.ask(now);
     }
-    const goesOn = this.#scheduler.round(now);
+    const goesOn = !this.#block.workersAreComing(now) && this.#scheduler.round(now);
     this.#commander.flush();
     if (now - this.#summedUpAt >= SUMMARY_MS) {
       this.#summedUpAt = now;
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -7,6 +7,12 @@
 import { holdsRoom, Machine } from './machine';
 import type { TeamLimits, TeamUse } from './placement';
 
+/** So many machines that have not shown our token yet hold nothing up: they are asked directly. */
+const FEW_UNSETTLED = 64;
+const TRIES_MS = 2_000;
+/** After a takeover the first workers come within this time, and each next one. */
+const COME_ON_MS = 1_500;
+
 /** What a block's owner knows: jobs with their tables, machines with what they hold, and its right to act. */
 export class Block {
   readonly machines = new Map<string, Machine>();
@@ -21,6 +27,9 @@
   readonly takenAt: number;
   stopped = false;
   #counter = 0;
+  #settledAt = -Infinity;
+  /** Each worker reports in this time, having tried other nodes, a second each. */
+  readonly #comingMs: number;
 
   constructor(
     readonly number: number,
@@ -35,6 +44,7 @@
     this.takenAt = deps.clock.now();
     const { operator, platform } = deps.settings;
     const { report_s, lease_s } = platform.deployment.workers;
+    this.#comingMs = report_s * 1250 + TRIES_MS;
     this.teams = new Map(
       platform.deployment.teams.filter((t) => teams.includes(t.name)).map((t) => [t.name, t]),
     );
@@ -90,7 +100,18 @@
 
   settle(machine: Machine): void {
     machine.settled = true;
-    this.unsettled.delete(machine);
+    if (this.unsettled.delete(machine)) this.#settledAt = this.deps.clock.now();
+  }
+
+  /**
+   * Whether this block was taken over just now, and the workers of a large fleet are on their way here. Each turn of
+   * the event loop accepts but one connection: with rounds, questions and commands going on meanwhile, workers could
+   * not get through for ten seconds and more, and lost their leases. So all else waits until they are here, or until no
+   * more of them come.
+   */
+  workersAreComing(now: number): boolean {
+    if (this.unsettled.size <= FEW_UNSETTLED) return false;
+    return now < this.takenAt + this.#comingMs && now < Math.max(this.takenAt, this.#settledAt) + COME_ON_MS;
   }
 
   nextCounter(): number {
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -9,17 +9,10 @@
 const MAX_ORDERS = 200;
 /** Between two questions to a machine that has not shown our token, or that hears nothing. */
 const ASK_EVERY_MS = 1_000;
-/**
- * After a takeover the workers of a large fleet all come to report, and each turn of the event loop accepts but one
- * connection. A question costs ten times a report: asked as well, workers could not get through for ten seconds and
- * more, and lost their leases. So more machines than this are left to come by themselves, and few commands are out
- * meanwhile.
- */
-const ASKED_AT_ONCE = 64;
-const OUT_WHILE_THEY_COME = 8;
+/** Questions that may be out at once: each costs ten times a report. */
 const MOST_ASKED = 24;
-/** Beyond the time in which each worker reports: it finds the owner through other nodes, a second a try. */
-const COMING_MS = 2_000;
+/** Commands that may be out while a large fleet's workers come. */
+const OUT_WHILE_THEY_COME = 8;
 
 /** Sends each worker the difference between what is wanted of it and what is on it. */
 export class Commander {
@@ -28,7 +21,6 @@
   readonly #out = new Set<Machine>();
   readonly #mostOut: number;
   readonly #mostAsked: number;
-  readonly #comingMs: number;
   /** Machines with a question to come, the last one first. */
   #toAsk: Machine[] = [];
   #listedAt = -Infinity;
@@ -40,7 +32,6 @@
     private readonly absorb: (machine: Machine, report: Report) => void,
   ) {
     this.#mostOut = deps.settings.sockets.commands;
-    this.#comingMs = deps.settings.platform.deployment.workers.report_s * 1250 + COMING_MS;
     this.#mostAsked = Math.min(MOST_ASKED, this.#mostOut);
   }
 
@@ -53,15 +44,9 @@
     this.#due.delete(machine);
   }
 
-  /** Whether this block was taken over just now, and most of its workers are on their way here. */
-  #areComing(now: number): boolean {
-    const { unsettled, takenAt } = this.block;
-    return unsettled.size > ASKED_AT_ONCE && now - takenAt < this.#comingMs;
-  }
-
   /** Sends what is due, as far as sockets allow; the rest goes out as answers come in. */
   flush(): void {
-    const most = this.#areComing(this.deps.clock.now()) ? OUT_WHILE_THEY_COME : this.#mostOut;
+    const most = this.block.workersAreComing(this.deps.clock.now()) ? OUT_WHILE_THEY_COME : this.#mostOut;
     for (const machine of this.#due) {
       if (this.#out.size >= most || !this.block.entitled) return;
       if (this.#out.has(machine)) continue;
@@ -75,7 +60,7 @@
    * those that seem to hear nothing. The longest unasked go first, the next as answers come in.
    */
   ask(now: number): void {
-    const due = new Set(this.#areComing(now) ? [] : this.block.unsettled);
+    const due = new Set(this.block.workersAreComing(now) ? [] : this.block.unsettled);
     // Workers that another node keeps may be within our reach all the same: their reports go there, so we ask.
     const kept = this.block.isKept;
     for (const m of this.block.machines.values()) {
