--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -321,3 +321,29 @@
   assert.ok(world.clock.now() - backAt >= 2_500, `${world.clock.now() - backAt} ms`);
   world.noRuleBroken();
 });
+
+test('after a takeover the workers of a large fleet come by themselves; only who stays away is asked', async () => {
+  const world = new World();
+  world.capacity = 110;
+  await world.submit('req-1', { pieces: 420, reckonS: 200 }, 200);
+  await world.until('420 tasks run', () => world.running.length >= 420);
+  world.addWorker('b');
+  await world.clock.advance(13_000);
+  const silent = world.worker(world.where('req-1/0') ?? '');
+  const asked: string[] = [];
+  world.network.rule(({ from, to, path, body }) => {
+    if (path === '/do' && (body as { orders: unknown[] }).orders.length === 0) asked.push(to);
+    return path === '/hosts/release' || from === silent.id || to === silent.address ? 'lose' : undefined;
+  });
+  world.kill(world.owner);
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  await world.submit('req-2', { pieces: 1 }, 30, owner);
+  await world.until('the new job runs', () => world.where('req-2/0') !== undefined, 5);
+  // The last ones are: when few are missing, questions are quicker.
+  assert.ok(new Set(asked).size <= 64, `${new Set(asked).size} machines were asked`);
+  await world.until('the silent one is asked', () => asked.includes(silent.address), 5);
+  const lost = 420 - world.running.filter((p) => p.startsWith('req-1/')).length;
+  assert.ok(lost <= 4, `${lost} tasks of machines within reach are gone`);
+  world.noRuleBroken();
+});
