--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -146,6 +146,7 @@
 
   #answered(machine: Machine, session: number, sent: readonly Attempt[], result: CommandResult): void {
     for (const attempt of sent) attempt.inFlight = false;
+    machine.unanswered = result.kind === 'unknown' || result.kind === 'not sent';
     const now = this.deps.clock.now();
     if (result.kind === 'done' || result.kind === 'refused') {
       machine.deafSince = undefined;
@@ -155,7 +156,7 @@
       for (const attempt of sent) this.attempts().neverStarted(machine, attempt.key);
       if (result.kind === 'not sent') machine.avoid(now);
     }
-    if (result.kind === 'unknown' || result.kind === 'not sent') {
+    if (machine.unanswered) {
       this.deps.log.debug({ machine: machine.id, result: result.kind }, 'command unanswered');
       if (result.kind === 'unknown') {
         machine.avoid(now);
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -102,6 +102,8 @@
   /** Since when this owner knows it. */
   readonly firstSeenAt: number;
   probedAt = -Infinity;
+  /** The last command to it was not answered, whether it arrived or not. */
+  unanswered = false;
   /** A message showed our token: nothing that an earlier owner sent can still start here. */
   settled = false;
   noticeUntil: number | undefined;
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -259,7 +259,7 @@
           heardAt: Math.min(m.heardAt ?? m.firstSeenAt, m.deafSince ?? Infinity),
           busy: m.busy,
           // All that waits in the block waits for it: it was asked directly, and gave no answer.
-          holdsUp: !m.settled && m.deafSince !== undefined,
+          holdsUp: !m.settled && m.unanswered,
         })),
       now,
       missedMs: timing.missedMs,
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -173,20 +173,24 @@
 });
 
 test('after a takeover a machine that is gone holds up the block only until it is returned', async () => {
-  const world = new World();
-  await world.submit('req-1', { pieces: 2 }, 60);
-  await world.until('2 tasks run', () => world.running.length >= 2);
-  const machine = world.worker(world.where('req-1/0') ?? '');
-  const spare = [world.addWorker('b'), world.addWorker('b')];
-  await world.clock.advance(13_000);
-  machine.hanging = true;
-  world.kill(world.owner);
-  await world.clock.advance(100);
-  await world.untilOwned();
-  const takenAt = world.clock.now();
-  await world.until('its tasks run elsewhere', () => spare.includes(world.where('req-1/0') ?? ''));
-  assert.ok(world.clock.now() - takenAt < 8000, `${world.clock.now() - takenAt} ms`);
-  world.noRuleBroken();
+  for (const hasPower of [true, false]) {
+    const world = new World();
+    await world.submit('req-1', { pieces: 2 }, 60);
+    await world.until('2 tasks run', () => world.running.length >= 2);
+    const machine = world.worker(world.where('req-1/0') ?? '');
+    const spare = [world.addWorker('b'), world.addWorker('b')];
+    await world.clock.advance(13_000);
+    // It takes connections and says nothing, or there is nobody to connect to.
+    machine.hanging = true;
+    if (!hasPower) world.network.rule(({ to }) => (to === machine.address ? 'unreachable' : undefined));
+    world.kill(world.owner);
+    await world.clock.advance(100);
+    await world.untilOwned();
+    const takenAt = world.clock.now();
+    await world.until('its tasks run elsewhere', () => spare.includes(world.where('req-1/0') ?? ''));
+    assert.ok(world.clock.now() - takenAt < 8000, `${world.clock.now() - takenAt} ms`);
+    world.noRuleBroken();
+  }
 });
 
 test('a new job of a team with a limit starts during a takeover, if the limit holds whatever is still unseen', async () => {
