--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as z from 'zod';
+import { shareSockets, type SocketShares } from './sockets';
 
 /** A setting that can't be used; the message names the field and the file in one line. */
 export class SettingsError extends Error {
@@ -83,6 +84,7 @@
   operator: OperatorSettings;
   /** Longest time that a controller may act on a block without news from the state service. */
   blockLeaseMs: number;
+  sockets: SocketShares;
 }
 
 const MAX_BLOCK_LEASE_MS = 30_000;
@@ -90,6 +92,8 @@
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
 const MIN_BLOCK_LEASE_MS = 2_000;
+/** Connections that a node can't do without: a few workers, users and the health probe. */
+const LEAST_INBOUND = 16;
 
 function check<T>(schema: z.ZodType<T>, value: unknown, file: string): T {
   const parsed = schema.safeParse(value);
@@ -136,7 +140,13 @@
       `${files[1]}: block_lease_s: must lie between ${MIN_BLOCK_LEASE_MS / 1000} and ${longest / 1000}`,
     );
   }
-  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted) };
+  const sockets = shareSockets(p.deployment.quota.fd_limit, p.others.length);
+  if (sockets.inbound < LEAST_INBOUND) {
+    throw new SettingsError(
+      `${files[0]}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
+    );
+  }
+  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets };
 }
 
 export function readSettings(platformFile: string, operatorFile?: string): Settings {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -23,7 +23,7 @@
 }
 
 async function ask(node: string, method: string, path: string, body?: unknown): Promise<void> {
-  const http = new HttpClient(codec, 1, MAX_ANSWER_BYTES);
+  const http = new HttpClient(codec, { perHost: 1, idle: 0 }, MAX_ANSWER_BYTES);
   try {
     const answer = await http.call(node, method, path, body, ASK_TIMEOUT_MS);
     if (answer.status === 200 || answer.status === 201) {
@@ -71,7 +71,12 @@
     .action((file: string, options: { options?: string }) => {
       const settings = readSettings(file, options.options);
       const { node, deployment } = settings.platform;
-      const summary = { node, teams: deployment.teams.length, blockLeaseMs: settings.blockLeaseMs };
+      const summary = {
+        node,
+        teams: deployment.teams.length,
+        blockLeaseMs: settings.blockLeaseMs,
+        sockets: settings.sockets,
+      };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
     });
   program
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,23 +1,39 @@
 import { systemClock } from '../base/clock';
-import { createLog, levelFromEnv } from '../base/log';
-import { describe } from '../base/loop';
+import { createLog, levelFromEnv, type Log } from '../base/log';
+import { describe, runLoop } from '../base/loop';
 import { systemRandom } from '../base/random';
 import type { Settings } from '../base/settings';
 import { Node } from '../coordination/node';
 import { createRoutes } from '../coordination/routes';
 import { codec } from '../protocol/codec';
+import type { Connections } from '../transport/connections';
 import { HttpClient } from '../transport/http-client';
 import { createServer } from '../transport/http-server';
 import { listenForPeers, PeerSender } from '../transport/peer-link';
 
 const MAX_BODY_BYTES = 64 * 1024;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-const SOCKETS_PER_HOST = 24;
-const USER_SOCKETS_PART = 0.75;
+const USAGE_MS = 10_000;
+const MB = 1024 * 1024;
+
+/** One line every now and then, by which an operator sees what this process uses of its quota. */
+async function reportUsage(log: Log, connections: Connections): Promise<void> {
+  const before = process.cpuUsage();
+  const from = systemClock.now();
+  await systemClock.sleep(USAGE_MS);
+  const { user, system } = process.cpuUsage(before);
+  const { rss, heapUsed } = process.memoryUsage();
+  const usage = {
+    cpu: Number(((user + system) / 1000 / (systemClock.now() - from)).toFixed(3)),
+    ...{ memoryMb: Math.round(rss / MB), heapMb: Math.round(heapUsed / MB) },
+    ...{ connections: connections.size, workers: connections.workers },
+  };
+  log.info(usage, 'usage');
+}
 
 /** Runs a controller until something kills it. */
 export async function serve(settings: Settings): Promise<void> {
-  const { platform } = settings;
+  const { platform, sockets } = settings;
   const log = createLog(levelFromEnv(process.env.LOG_LEVEL), platform.node);
   // A process never ends by itself: what no loop caught is logged, and the loops go on.
   process.on('uncaughtException', (error) => {
@@ -36,14 +52,19 @@
     startedAt: 0,
     random: systemRandom,
     log,
-    http: new HttpClient(codec, SOCKETS_PER_HOST, MAX_ANSWER_BYTES),
+    http: new HttpClient(codec, { perHost: sockets.external, idle: sockets.idle }, MAX_ANSWER_BYTES),
     broadcast: (bytes) => {
       for (const peer of peers) peer.send(bytes);
     },
   });
-  const server = createServer(createRoutes(node, log), {
+  const { server, connections } = createServer(createRoutes(node, log), {
     maxBodyBytes: MAX_BODY_BYTES,
-    maxConnections: Math.floor(platform.deployment.quota.fd_limit * USER_SOCKETS_PART),
+    connections: {
+      all: sockets.inbound,
+      workers: sockets.workers,
+      workerIdleMs: platform.deployment.workers.lease_s * 1000,
+    },
+    now: () => systemClock.now(),
     encode: (value) => codec.encode(value),
     onError: (error) => {
       log.error({ err: describe(error) }, 'a request failed');
@@ -60,5 +81,6 @@
   node.start();
   const [host, port] = platform.bind.split(':');
   await server.listen({ host: host ?? '', port: Number(port) });
+  void runLoop('usage', () => reportUsage(log, connections), { clock: systemClock, log, signal });
   log.info({ bind: platform.bind, back: platform.back, blockLeaseMs: settings.blockLeaseMs }, 'serving');
 }
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -10,8 +10,6 @@
 const AVOID_MS = 2_000;
 /** Between two questions to a machine that has not shown our token, or that hears nothing. */
 const ASK_EVERY_MS = 1_000;
-/** Part of this process's sockets that commands may use at once. */
-const SOCKETS_PART = 1 / 8;
 
 /** Sends each worker the difference between what is wanted of it and what is on it. */
 export class Commander {
@@ -28,8 +26,7 @@
     private readonly deps: Deps,
     private readonly absorb: (machine: Machine, report: Report) => void,
   ) {
-    const { fd_limit } = deps.settings.platform.deployment.quota;
-    this.#mostOut = Math.max(4, Math.floor(fd_limit * SOCKETS_PART));
+    this.#mostOut = deps.settings.sockets.commands;
   }
 
   /** The machine is to be sent its orders at the end of the round. */
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -42,11 +42,13 @@
     {
       method: 'GET',
       url: '/up',
+      use: 'health',
       handle: () => ({ status: node.ready ? 200 : 503, body: { ready: node.ready } }),
     },
     {
       method: 'POST',
       url: '/work',
+      use: 'users',
       handle: guarded(async ({ body }) => {
         const job = readSubmission(body);
         if (typeof job === 'string') return { status: 400, body: { error: job } };
@@ -66,6 +68,7 @@
     {
       method: 'GET',
       url: '/work/:id',
+      use: 'users',
       handle: guarded(async ({ params }) => {
         const id = params.id ?? '';
         const status = JOB_ID.test(id) ? await node.jobs.find(id) : undefined;
@@ -76,6 +79,7 @@
     {
       method: 'POST',
       url: '/work/:id/withdraw',
+      use: 'users',
       handle: guarded(async ({ params }) => {
         const id = params.id ?? '';
         const status = JOB_ID.test(id) ? await node.jobs.cancel(id, node.doneSoFar(id)) : undefined;
@@ -87,6 +91,7 @@
     {
       method: 'POST',
       url: '/hello',
+      use: 'workers',
       handle: guarded(async ({ body }) => {
         const report = readReport(body);
         if (!report) return { status: 400, body: { error: 'not a report' } };
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,4 +1,5 @@
-import { Agent, request } from 'node:http';
+import { Agent, request, type ClientRequest } from 'node:http';
+import type { Duplex } from 'node:stream';
 
 export interface Answer {
   status: number;
@@ -25,21 +26,50 @@
   call(target: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
 }
 
+/** Keeps so many idle connections and no more, the last used: a fleet's, one a machine, would use up all sockets. */
+class BoundedAgent extends Agent {
+  /** The longest idle first, with what takes each out of here when it closes. */
+  readonly #idle = new Map<Duplex, () => void>();
+
+  constructor(
+    socketsPerHost: number,
+    private readonly mostIdle: number,
+  ) {
+    super({ keepAlive: true, maxSockets: socketsPerHost, maxFreeSockets: 4, scheduling: 'lifo' });
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // The types say that nothing is returned; the documentation, and the code, that it tells whether to keep it.
+    const keep = super.keepSocketAlive(socket) as unknown as boolean;
+    if (!keep) return false;
+    const forget = (): void => {
+      this.#idle.delete(socket);
+    };
+    this.#idle.set(socket, forget);
+    socket.once('close', forget);
+    const [oldest] = this.#idle.keys();
+    if (this.#idle.size > this.mostIdle) oldest?.destroy();
+    return true;
+  }
+
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    const forget = this.#idle.get(socket);
+    if (forget) socket.off('close', forget);
+    this.#idle.delete(socket);
+    super.reuseSocket(socket, request);
+  }
+}
+
 /** A keep-alive HTTP client. An answer larger than the limit, or one that can't be decoded, counts as none. */
 export class HttpClient implements HttpCaller {
   readonly #agent: Agent;
 
   constructor(
     private readonly codec: Codec,
-    socketsPerHost: number,
+    sockets: { perHost: number; idle: number },
     private readonly maxAnswerBytes: number,
   ) {
-    this.#agent = new Agent({
-      keepAlive: true,
-      maxSockets: socketsPerHost,
-      maxFreeSockets: 4,
-      scheduling: 'lifo',
-    });
+    this.#agent = new BoundedAgent(sockets.perHost, sockets.idle);
   }
 
   close(): void {
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,4 +1,5 @@
 import fastify, { type FastifyInstance } from 'fastify';
+import { Connections, type ConnectionLimits, type Use } from './connections';
 
 export interface HttpRequest {
   params: Record<string, string>;
@@ -15,20 +16,28 @@
 export interface Route {
   method: 'GET' | 'POST';
   url: string;
+  use: Use;
   handle(request: HttpRequest): HttpReply | Promise<HttpReply>;
 }
 
 const EMPTY = new Uint8Array(0);
 
+/** When to come back, for one connection too many. */
+const RETRY_AFTER_S = 1;
+
 export interface ServerOptions {
   maxBodyBytes: number;
-  maxConnections: number;
+  connections: ConnectionLimits;
+  now(): number;
   encode(value: unknown): Uint8Array;
   onError(error: unknown): void;
 }
 
 /** The HTTP server: routes in, answers out. A body over the limit is refused (413) without being kept. */
-export function createServer(routes: Route[], options: ServerOptions): FastifyInstance {
+export function createServer(
+  routes: Route[],
+  options: ServerOptions,
+): { server: FastifyInstance; connections: Connections } {
   const server = fastify({
     logger: false,
     bodyLimit: options.maxBodyBytes,
@@ -37,7 +46,11 @@
     routerOptions: { maxParamLength: 300 },
     exposeHeadRoutes: false,
   });
-  server.server.maxConnections = options.maxConnections;
+  const connections = new Connections(options.connections, options.now);
+  server.server.maxConnections = options.connections.all;
+  server.server.on('connection', (socket) => {
+    connections.opened(socket);
+  });
   const send = (reply: { status: number; body?: unknown }): Buffer => {
     const bytes = options.encode(reply.body ?? { error: `status ${reply.status}` });
     return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
@@ -65,6 +78,17 @@
       method: route.method,
       url: route.url,
       handler: async (request, reply) => {
+        const { socket } = request.raw;
+        reply.raw.once('close', () => {
+          connections.ends(socket);
+        });
+        if (!connections.begins(socket, route.use)) {
+          reply.header('retry-after', RETRY_AFTER_S).header('connection', 'close');
+          return reply
+            .code(503)
+            .type('application/msgpack')
+            .send(send({ status: 503 }));
+        }
         const answer = await route.handle({
           params: request.params as Record<string, string>,
           body: request.body instanceof Uint8Array ? request.body : EMPTY,
@@ -74,5 +98,5 @@
       },
     });
   }
-  return server;
+  return { server, connections };
 }
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -31,12 +31,15 @@
 
 export const MAX_FRAME_BYTES = 256 * 1024;
 const MAX_QUEUED_BYTES = 1024 * 1024;
+const SILENT_LINK_MS = 15_000;
 
 /** Takes frames from the other nodes. What one of them garbles ends its connection only. */
 export function listenForPeers(address: string, onFrame: (bytes: Buffer) => void, log: Log): Server {
   const server = createServer((socket) => {
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
+    // Peers speak every second. One that died without a word would leave its end of the link open for ever.
+    socket.setTimeout(SILENT_LINK_MS, () => socket.destroy());
     void (async () => {
       try {
         for await (const bytes of readFrames(socket, MAX_FRAME_BYTES)) onFrame(bytes);
--- /dev/null
+++ b/test/sockets.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { Agent, createServer, request, type IncomingMessage } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { shareSockets } from '../src/base/sockets';
+import { codec } from '../src/protocol/codec';
+import { Connections } from '../src/transport/connections';
+import { HttpClient } from '../src/transport/http-client';
+import { createServer as createNodeServer, type Route } from '../src/transport/http-server';
+
+test('every use has its share of sockets, and a fleet of one block fits into them', () => {
+  for (const [limit, others, machines] of [
+    [2309, 4, 1450],
+    [2015, 2, 970],
+    [2500, 2, 1500],
+    [700, 2, 322],
+  ] as const) {
+    const { inbound, workers, commands, idle, external } = shareSockets(limit, others);
+    assert.ok(inbound + commands + idle + 2 * external + 4 * others < limit);
+    assert.ok(workers >= machines, `${limit}: ${workers} workers`);
+    assert.ok(inbound - workers >= 50, 'users can always come in');
+  }
+});
+
+test('commands to ever more machines leave only the last connections open', async () => {
+  const open = new Set<Socket>();
+  const servers = await Promise.all(
+    Array.from({ length: 6 }, async () => {
+      const server = createServer((_request, response) => response.end(codec.encode({ fine: true })));
+      server.on('connection', (socket) => {
+        open.add(socket);
+        socket.once('close', () => open.delete(socket));
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      return server;
+    }),
+  );
+  const client = new HttpClient(codec, { perHost: 1, idle: 2 }, 1024);
+  const ask = async (server: (typeof servers)[number]): Promise<number> => {
+    const { port } = server.address() as AddressInfo;
+    return (await client.call(`127.0.0.1:${port}`, 'GET', '/', undefined, 2000)).status;
+  };
+  try {
+    for (const server of servers) assert.equal(await ask(server), 200);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.equal(open.size, 2);
+    // The last ones are used again, not opened anew.
+    const [, , , , fifth, last] = servers;
+    assert.ok(fifth && last);
+    const before = [...open];
+    for (let round = 0; round < 20; round += 1) {
+      assert.equal(await ask(fifth), 200);
+      assert.equal(await ask(last), 200);
+    }
+    assert.deepEqual([...open], before);
+  } finally {
+    client.close();
+    for (const server of servers) server.close();
+  }
+});
+
+test('workers and users each find room, and one too many is told at once when to come back', async () => {
+  const route = (url: string, use: Route['use']): Route => {
+    return { method: 'GET', url, use, handle: () => ({ status: 200, body: {} }) };
+  };
+  const { server, connections } = createNodeServer(
+    [route('/up', 'health'), route('/hello', 'workers'), route('/work', 'users')],
+    {
+      ...{ maxBodyBytes: 1024, now: () => performance.now(), onError: assert.fail },
+      connections: { all: 20, workers: 5, workerIdleMs: 60_000 },
+      encode: (value) => codec.encode(value),
+    },
+  );
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  const { port } = server.server.address() as AddressInfo;
+  const agents: Agent[] = [];
+  const ask = (agent: Agent, path: string): Promise<IncomingMessage> =>
+    new Promise((resolve, reject) => {
+      const req = request({ agent, host: '127.0.0.1', port, path }, (response) => {
+        response.resume().once('end', () => {
+          resolve(response);
+        });
+      });
+      req.once('error', reject).end();
+    });
+  const newcomer = (): Agent => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    agents.push(agent);
+    return agent;
+  };
+  try {
+    for (let n = 0; n < 5; n += 1) assert.equal((await ask(newcomer(), '/hello')).statusCode, 200);
+    const refused = await ask(newcomer(), '/hello');
+    assert.equal(refused.statusCode, 503);
+    assert.equal(refused.headers['retry-after'], '1');
+    assert.equal(refused.headers.connection, 'close');
+    // Far more users than there is room for: those between two polls make room, workers keep theirs.
+    for (let n = 0; n < 30; n += 1) assert.equal((await ask(newcomer(), '/work')).statusCode, 200);
+    assert.ok(connections.size <= 13, `${connections.size} connections`);
+    assert.equal(connections.workers, 5);
+    for (const agent of agents.slice(0, 5)) assert.equal((await ask(agent, '/hello')).statusCode, 200);
+    assert.equal((await ask(newcomer(), '/up')).statusCode, 200);
+  } finally {
+    for (const agent of agents) agent.destroy();
+    await server.close();
+  }
+});
+
+test('the connection of a machine that is gone is closed after a worker lease, a user may come back later', async () => {
+  let now = 0;
+  const limits = { all: 20, workers: 5, workerIdleMs: 10_000 };
+  const connections = new Connections(limits, () => now);
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const sockets = [0, 1, 2].map(() => connect(port, '127.0.0.1'));
+  const [gone, user, newcomer] = sockets;
+  assert.ok(gone && user && newcomer);
+  for (const [socket, use] of [
+    [gone, 'workers'],
+    [user, 'users'],
+  ] as const) {
+    connections.opened(socket);
+    assert.ok(connections.begins(socket, use));
+    connections.ends(socket);
+  }
+  now = 10_001;
+  connections.opened(newcomer);
+  await new Promise((resolve) => gone.once('close', resolve));
+  assert.equal(connections.workers, 0);
+  assert.equal(connections.size, 2);
+  assert.equal(user.destroyed, false);
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
