--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -54,14 +54,15 @@
   }
 }
 
-export function createProgram(): Command {
+/** `code`: what became of the code kept from the build, for the log. */
+export function createProgram(code = 'none'): Command {
   const program = new Command('ironstream')
     .description('A cluster scheduler. With --config it runs a controller.')
     .option('--config <file>', "the platform's settings file (TOML)")
     .option('--options <file>', "the operators' own settings (TOML)")
     .action(async (options: { config?: string; options?: string }) => {
       if (options.config === undefined) throw new SettingsError('--config FILE is needed; see --help');
-      await serve(readSettings(options.config, options.options));
+      await serve(readSettings(options.config, options.options), code);
     });
   program
     .command('check-config')
@@ -102,9 +103,9 @@
   return program;
 }
 
-export async function main(argv: readonly string[]): Promise<void> {
+export async function main(argv: readonly string[], code: string): Promise<void> {
   try {
-    await createProgram().parseAsync(argv);
+    await createProgram(code).parseAsync(argv);
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     fail(error.message, BAD_INPUT);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -35,7 +35,7 @@
 }
 
 /** Runs a controller until something kills it. */
-export async function serve(settings: Settings): Promise<void> {
+export async function serve(settings: Settings, code: string): Promise<void> {
   const { platform, sockets } = settings;
   const log = createLog(levelFromEnv(process.env.LOG_LEVEL), platform.node);
   // A process never ends by itself: what no loop caught is logged, and the loops go on.
@@ -104,5 +104,7 @@
   while (!node.informed && systemClock.now() < listenBy) await systemClock.sleep(10);
   await server.listen({ host: host ?? '', port: Number(port), backlog: sockets.backlog });
   void runLoop('usage', () => reportUsage(log, connections), { clock: systemClock, log, signal });
-  log.info({ bind: platform.bind, back: platform.back, blockLeaseMs: settings.blockLeaseMs }, 'serving');
+  const { bind, back } = platform;
+  const startMs = Math.round(systemClock.now());
+  log.info({ bind, back, blockLeaseMs: settings.blockLeaseMs, startMs, code }, 'serving');
 }
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -171,7 +171,12 @@
   if (args['no-profile']) return;
   const file = readdirSync(of.profiles)[0];
   if (file === undefined) throw new Error(`no profile of ${of.name}`);
-  const { busyMs, parts, functions } = sharesOf(`${of.profiles}/${file}`, args.bundle, fromMs, toMs);
+  const { busyMs, parts, functions } = sharesOf(
+    `${of.profiles}/${file}`,
+    args.bundle.replace('main.js', 'program.js'),
+    fromMs,
+    toMs,
+  );
   const rows = [...parts]
     .sort((a, b) => b[1] - a[1])
     .map(([p, ms]) => `${((100 * ms) / busyMs).toFixed(1).padStart(5)}% ${p}`);
--- a/test/load/profile.ts
+++ b/test/load/profile.ts
@@ -52,7 +52,7 @@
   const modules = modulesOf(bundle);
   const named = new Map<number, { part: string; name: string }>();
   for (const { id, callFrame: f } of profile.nodes) {
-    const ours = f.url.endsWith('/main.js') || f.url.endsWith('main.js');
+    const ours = f.url.endsWith('/program.js');
     const where = ours ? (modules[f.lineNumber] ?? 'bundle') : f.url;
     const key =
       where === '' ? (f.functionName.startsWith('(') ? f.functionName : `(native)${f.functionName}`) : where;
