Pace and blocks follow from the quota; answers that came in time are read; memory flags that bound memory

Below an eighth of a core budgets in steady time are mostly waiting, so rounds, pauses and watches stretch, and blocks follow from the quota; the first leader's number is recorded, so that no team can lie in two blocks while quotas change. Timers come before sockets after a long turn: an answer that had arrived counted as none.

--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as z from 'zod';
+import { paceFor, type Pace } from './pace';
 import { shareSockets, type SocketShares } from './sockets';
 
 /** A setting that can't be used; the message names the field and the file in one line. */
@@ -61,9 +62,9 @@
 
 /** The operators' own settings; every one has a default, explained in docs/OPERATIONS.md. */
 const operatorSchema = z.strictObject({
-  blocks: z.int().min(1).max(64).default(1),
+  blocks: z.int().min(1).max(64).optional(),
   block_lease_s: seconds.optional(),
-  round_budget_ms: seconds.default(40),
+  round_budget_ms: seconds.optional(),
   flush_ms: seconds.default(1000),
   missed_reports: z.number().min(1).default(2),
   silent_release_s: seconds.optional(),
@@ -85,6 +86,8 @@
   /** Longest time that a controller may act on a block without news from the state service. */
   blockLeaseMs: number;
   sockets: SocketShares;
+  /** What follows from the share of a core, and the operator's own word where there is one. */
+  pace: Pace;
 }
 
 const MAX_BLOCK_LEASE_MS = 30_000;
@@ -146,7 +149,13 @@
       `${files[0]}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
     );
   }
-  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets };
+  const derived = paceFor(p.deployment.quota.cpu, p.others.length + 1);
+  const pace = {
+    ...derived,
+    blocks: o.blocks ?? derived.blocks,
+    roundBudgetMs: o.round_budget_ms ?? derived.roundBudgetMs,
+  };
+  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets, pace };
 }
 
 export function readSettings(platformFile: string, operatorFile?: string): Settings {
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -38,6 +38,8 @@
   teams: z.array(z.string()),
   /** The node that took the block last. */
   holder: z.string().optional(),
+  /** How many blocks there are in all. */
+  of: z.int().min(1).optional(),
 });
 const leaseRecord = z.object({ owner: z.string(), token: count });
 const machineRecord = z.object({
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -77,6 +77,7 @@
         teams: deployment.teams.length,
         blockLeaseMs: settings.blockLeaseMs,
         sockets: settings.sockets,
+        pace: settings.pace,
       };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
     });
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -20,7 +20,6 @@
 const EVENTS_GATHER_MS = 4;
 /** Rounds get at most one part in so many of the time: reports, commands and users need the rest. */
 const ROUND_PART = 4;
-const LONGEST_PAUSE_MS = 200;
 const SUMMARY_MS = 10_000;
 /** So many reports of a machine are answered though they don't show the token that the answers carry. */
 const MAX_UNPROVEN = 3;
@@ -279,7 +278,8 @@
     }
     if (goesOn) this.#wake.wake();
     const pauseMs = (this.deps.clock.now() - now) * (ROUND_PART - 1);
-    if (pauseMs > EVENTS_GATHER_MS) await this.deps.clock.sleep(Math.min(LONGEST_PAUSE_MS, pauseMs), signal);
+    if (pauseMs > EVENTS_GATHER_MS)
+      await this.deps.clock.sleep(Math.min(this.deps.settings.pace.roundPauseMs, pauseMs), signal);
   }
 
   /** One line every now and then, by which an operator sees how the block does. */
--- a/src/coordination/keeping.ts
+++ b/src/coordination/keeping.ts
@@ -1,3 +1,4 @@
+import { blockCount } from '../bookkeeping/block-count';
 import { KEY, read } from '../bookkeeping/records';
 import type { Order, Report } from '../protocol/model';
 import type { Deps } from './deps';
@@ -34,7 +35,7 @@
       return;
     }
     const now = clock.now();
-    for (let block = 0; block < settings.operator.blocks; block += 1) {
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
       const lease = read.lease(cache.get(KEY.lease(block))?.value);
       const key = KEY.keep(block, node);
       // A node that starts has heard nobody yet. Kept for nothing, silent workers would count as answered just now, and
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,3 +1,4 @@
+import { blockCount } from '../bookkeeping/block-count';
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import type { CloudView } from './cloud-view';
 import type { Deps } from './deps';
@@ -45,7 +46,7 @@
       .sort((a, b) => a.version - b.version)
       .map((e) => e.key.slice(PREFIX.node.length));
     if (nodes.length === 0) return;
-    const { blocks } = settings.operator;
+    const blocks = blockCount(cache, settings);
     const load = new Map(nodes.map((n) => [n, 0]));
     const orphans: number[] = [];
     for (let block = 0; block < blocks; block += 1) {
@@ -83,8 +84,9 @@
     const sorted = [...load].sort((a, b) => a[1] - b[1]);
     const [least, most] = [sorted[0], sorted.at(-1)];
     if (!least || !most || most[1] - least[1] < 2) return;
-    for (let block = 0; block < this.deps.settings.operator.blocks; block += 1) {
-      if (read.block(this.deps.cache.get(KEY.block(block))?.value)?.owner !== most[0]) continue;
+    const { cache, settings } = this.deps;
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
+      if (read.block(cache.get(KEY.block(block))?.value)?.owner !== most[0]) continue;
       await this.#give(block, least[0]);
       return;
     }
@@ -93,11 +95,12 @@
   async #give(block: number, owner: string): Promise<boolean> {
     const { cache, store, settings, log } = this.deps;
     const { teams } = settings.platform.deployment;
-    const { blocks } = settings.operator;
+    const blocks = blockCount(cache, settings);
     const key = KEY.block(block);
     const value: BlockRecord = {
       ...read.block(cache.get(key)?.value),
       owner,
+      of: blocks,
       teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
     };
     const result = await store.txn(
@@ -124,7 +127,7 @@
       .slice(0, STRAYS_AT_ONCE);
     if (strays.length === 0) return;
     const machinesOf = new Map<number, number>();
-    for (let block = 0; block < settings.operator.blocks; block += 1) machinesOf.set(block, 0);
+    for (let block = 0; block < blockCount(cache, settings); block += 1) machinesOf.set(block, 0);
     for (const entry of cache.under(PREFIX.machine)) {
       const block = read.machine(entry.value)?.block ?? 0;
       machinesOf.set(block, (machinesOf.get(block) ?? 0) + 1);
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -3,6 +3,7 @@
 import { runLoop } from '../base/loop';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import { blockCount } from '../bookkeeping/block-count';
 import { EndedJobs } from '../bookkeeping/ended-jobs';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
@@ -41,7 +42,6 @@
 /** This node's part of the limits that all nodes share: one may take more than its share, for others take less. */
 const RATE_PART = 0.6;
 const CLOUD_RATE_PART = 0.7;
-const WATCH_PACE_MS = 100;
 const WATCHES_PER_LEASE = 5;
 const LEADER_PAUSE_MS = 1_000;
 const OWNER_PAUSE_MS = 500;
@@ -96,12 +96,12 @@
       );
     const cloudRate = new RateLimit(
       clock,
-      (cloud.rps * CLOUD_RATE_PART) / Math.sqrt(settings.operator.blocks),
+      (cloud.rps * CLOUD_RATE_PART) / Math.sqrt(settings.pace.blocks),
       2,
     );
     const cloudApi = new Cloud(http, platform.external.cloud, cloudRate, CLOUD_TIMEOUT_MS);
     const holdMs = settings.blockLeaseMs / WATCHES_PER_LEASE;
-    this.#cache = new WatchCache(stateStore, LIVE, clock, holdMs, WATCH_PACE_MS);
+    this.#cache = new WatchCache(stateStore, LIVE, clock, holdMs, settings.pace.watchPaceMs);
     this.#session = new Session(platform.node, settings.blockLeaseMs, stateStore, this.#cache, clock, log);
     const announce = (event: Event): void => {
       this.#cache.offer(event);
@@ -298,7 +298,7 @@
       if (owner.stopped) this.#owners.delete(block);
     }
     if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
-    for (let block = 0; block < settings.operator.blocks; block += 1) {
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
       const record = read.block(cache.get(KEY.block(block))?.value);
       if (record?.owner !== node || this.#owners.has(block)) continue;
       const held = cache.get(KEY.lease(block));
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -1,5 +1,6 @@
 import { Wake } from '../base/clock';
 import { CHUNK_TASKS } from '../bookkeeping/bitmap';
+import { blockCount } from '../bookkeeping/block-count';
 import { KEY, read } from '../bookkeeping/records';
 import type { Change, Guard } from '../protocol/state';
 import type { Deps } from './deps';
@@ -79,7 +80,8 @@
    */
   #collect(now: number): Part[] {
     const { txn_ops, write_rps } = this.deps.settings.platform.deployment.state;
-    const { flush_ms, blocks } = this.deps.settings.operator;
+    const { flush_ms } = this.deps.settings.operator;
+    const blocks = blockCount(this.deps.cache, this.deps.settings);
     const dirty = [...this.block.tables.values()].filter((t) => t.unrecorded.size > 0);
     const complete = dirty.filter((t) => t.remaining === 0);
     const others = now - this.#bitmapsAt < flush_ms ? [] : dirty.filter((t) => t.remaining > 0);
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -68,7 +68,7 @@
       this.#cursor = 0;
       return false;
     }
-    const endAt = this.deps.clock.now() + this.deps.settings.operator.round_budget_ms;
+    const endAt = this.deps.clock.now() + this.deps.settings.pace.roundBudgetMs;
     const timeIsUp = (): boolean => this.deps.clock.now() > endAt;
     const turns = order(jobs, this.block.teams);
     const { use, machines, agedCpus } = this.#roomy(jobs, now);
--- a/src/coordination/vouching.ts
+++ b/src/coordination/vouching.ts
@@ -1,3 +1,4 @@
+import { blockCount } from '../bookkeeping/block-count';
 import { KEY, PREFIX, read } from '../bookkeeping/records';
 import { DRIFT } from '../bookkeeping/session';
 import type { Ask, PeerMessage, PeerPromise } from '../protocol/peers';
@@ -51,7 +52,7 @@
   onAsk(ask: Ask): void {
     const { clock, store, cache, node, settings } = this.deps;
     if (!store.troubled || this.isTaking()) return;
-    for (let block = 0; block < settings.operator.blocks; block += 1) {
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
       // What it asks for may be ours by now, though it can't know.
       const lease = read.lease(cache.get(KEY.lease(block))?.value);
       const assigned = read.block(cache.get(KEY.block(block))?.value);
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -108,12 +108,18 @@
         headers: bytes ? { 'content-type': 'application/msgpack', 'content-length': bytes.length } : {},
       });
       const fail = (message: string): void => {
+        settled = true;
         clearTimeout(timer);
         reject(new NoAnswer(`${method} ${target}${path}: ${message}`, connected));
         req.destroy();
       };
+      let settled = false;
       const timer = setTimeout(() => {
-        fail(`nothing within ${timeoutMs} ms`);
+        // On a small share of a core a turn may take longer than the patience, and timers come before sockets in the next
+        // one: an answer that has arrived long ago is read first. Else a slow node takes all others for dead.
+        setImmediate(() => {
+          if (!settled) fail(`nothing within ${timeoutMs} ms`);
+        });
       }, timeoutMs);
       req.on('socket', (socket) => {
         if (socket.connecting) {
@@ -142,6 +148,7 @@
           fail('the answer broke off');
         });
         response.on('end', () => {
+          settled = true;
           clearTimeout(timer);
           try {
             const whole = parts.length === 1 && parts[0] ? parts[0] : Buffer.concat(parts);
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -40,6 +40,8 @@
   readonly controllers: Controller[] = [];
   readonly broken: string[] = [];
   readonly bookings = new Map<string, string[]>();
+  /** The share of a core of controllers that start from now on. */
+  cpu = 1;
   /** How many machines the cloud still has to rent. */
   capacity = 8;
   bootMs = 3000;
@@ -58,7 +60,10 @@
   #names = 0;
   #machines = 0;
 
-  constructor(private readonly options: { limitCpus?: number; operator?: Record<string, unknown> } = {}) {
+  constructor(
+    private readonly options: { limitCpus?: number; operator?: Record<string, unknown>; cpu?: number } = {},
+  ) {
+    this.cpu = options.cpu ?? this.cpu;
     this.network.attach(STATE, (request) => this.state.handle(request));
     this.network.attach(CLOUD, (request) => this.#cloud(request));
     for (let index = 0; index < 3; index += 1) this.#addController(index);
@@ -87,7 +92,7 @@
           workers: { report_s: 0.8, lease_s: LEASE_S, cancel_s: CANCEL_S },
           state: { rps: 200, write_rps: 100, value_kb: 16, txn_ops: 32 },
           cloud: { rps: 5, list_lag_s: 2 },
-          quota: {},
+          quota: { cpu: this.cpu },
         },
       },
       this.options.operator ?? {},
--- /dev/null
+++ b/test/lean.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { Wake } from '../src/base/clock';
+import { paceFor } from '../src/base/pace';
+import { idleNow, shareSockets } from '../src/base/sockets';
+import { read } from '../src/bookkeeping/records';
+import { codec } from '../src/protocol/codec';
+import { HttpClient, NoAnswer } from '../src/transport/http-client';
+import { FakeClock } from './fakes/clock';
+import { World } from './fakes/world';
+
+test('from an eighth of a core on nothing changes with the quota; below, budgets and blocks make up for it', () => {
+  const usual = { blocks: 1, roundBudgetMs: 40, roundPauseMs: 200, watchPaceMs: 100 };
+  for (const cpu of [0.125, 0.136, 0.306, 0.34, 0.391, 1, 8]) assert.deepEqual(paceFor(cpu, 3), usual);
+  const small = paceFor(0.05, 3);
+  // As much computing in a round as on an eighth of a core.
+  assert.equal(small.roundBudgetMs * 0.05, usual.roundBudgetMs * 0.125);
+  assert.equal(small.blocks, 3);
+  assert.equal(paceFor(0.01, 3).blocks, 3, 'never more blocks than controllers');
+  assert.equal(paceFor(0.05, 1).blocks, 1);
+});
+
+test('a number of blocks that followed from an earlier quota stays, and every team lies in one block only', async () => {
+  const world = new World({ cpu: 0.1 });
+  const blocksOf = (): Map<string, string[]> => {
+    const entries = [...world.state.data].filter(([key]) => key.startsWith('live/block/'));
+    return new Map(entries.map(([key, { data }]) => [key, read.block(data)?.teams ?? []]));
+  };
+  await world.untilOwned();
+  await world.until('two blocks are held', () => blocksOf().size === 2);
+  const before = blocksOf();
+  assert.deepEqual([...before.values()].flat().sort(), ['blue', 'red']);
+  await world.submit('req-1', { crew: 'red' });
+  await world.submit('req-2', { crew: 'blue' });
+  // Larger machines for the controllers, one after the other: by their own quota they would see one block.
+  world.cpu = 1;
+  for (const index of [0, 1, 2]) {
+    world.kill(index);
+    await world.clock.advance(500);
+    world.restart(index);
+    await world.clock.advance(8000);
+  }
+  assert.deepEqual(blocksOf(), before);
+  await world.untilStanding('req-1', 'done');
+  await world.untilStanding('req-2', 'done');
+  world.noRuleBroken();
+});
+
+test('an answer that came in time is read, however late the process comes to look', async (t) => {
+  const server = createServer((request, response) => {
+    request.resume();
+    if (request.url === '/never') return;
+    response.end(codec.encode({ fine: true }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpClient(codec, { perHost: 2, idle: () => 2 }, 1024);
+  t.after(() => {
+    client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  const ask = (path: string): Promise<{ status: number }> =>
+    client.call(`127.0.0.1:${port}`, 'GET', path, undefined, 100);
+  // The server shares this process, so the answer has to be on its way before the process stands still.
+  const asked = ask('/');
+  await new Promise<void>((resolve) => {
+    server.once('request', () => {
+      resolve();
+    });
+  });
+  await new Promise((resolve) => process.nextTick(resolve));
+  const until = performance.now() + 300;
+  while (performance.now() < until);
+  assert.equal((await asked).status, 200);
+  await assert.rejects(ask('/never'), NoAnswer);
+});
+
+test('a wake ends a wait at once, comes to the next wait if nobody waits, and needs no timer of its own', async () => {
+  const clock = new FakeClock();
+  const wake = new Wake(clock);
+  const ends: number[] = [];
+  const wait = async (): Promise<void> => {
+    await wake.wait(100);
+    ends.push(clock.now());
+  };
+  void wait();
+  await clock.advance(30);
+  wake.wake();
+  await clock.advance(0);
+  assert.deepEqual(ends, [30]);
+  wake.wake();
+  void wait();
+  await clock.advance(0);
+  assert.deepEqual(ends, [30, 30]);
+  // The sleep of the first wait ends this one: never later than asked for.
+  void wait();
+  await clock.advance(200);
+  assert.deepEqual(ends, [30, 30, 100]);
+  void wait();
+  await clock.advance(200);
+  assert.deepEqual(ends, [30, 30, 100, 330]);
+});
+
+test('idle connections of commands use what workers leave, and make way for them', () => {
+  const shares = shareSockets(700, 2);
+  assert.equal(idleNow(shares, 0), shares.idle + shares.workers);
+  assert.equal(idleNow(shares, shares.workers), shares.idle);
+  assert.equal(idleNow(shares, shares.inbound), shares.idle);
+  for (const open of [0, 100, 300, shares.inbound]) {
+    const all = open + idleNow(shares, open) + shares.commands + shares.backlog + 2 * shares.external;
+    assert.ok(all <= 700, `${open} inbound: ${all} sockets`);
+  }
+});
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -21,7 +21,7 @@
     seconds: { type: 'string', default: '30' },
     controllers: { type: 'string', default: '3' },
     bundle: { type: 'string', default: 'target/load/main.js' },
-    flags: { type: 'string', default: '--max-old-space-size=96' },
+    flags: { type: 'string', default: '--max-old-space-size=64 --max-semi-space-size=4 --single-threaded' },
     functions: { type: 'string', default: '25' },
     out: { type: 'string', default: 'target/load/run' },
     'no-profile': { type: 'boolean', default: false },
