--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -20,7 +20,7 @@
 const MB = 1024 * 1024;
 
 /** One line every now and then, by which an operator sees what this process uses of its quota. */
-async function reportUsage(log: Log, connections: Connections): Promise<void> {
+async function reportUsage(log: Log, connections: Connections, node: Node): Promise<void> {
   const before = process.cpuUsage();
   const from = systemClock.now();
   await systemClock.sleep(USAGE_MS);
@@ -30,6 +30,7 @@
     cpu: Number(((user + system) / 1000 / (systemClock.now() - from)).toFixed(3)),
     ...{ memoryMb: Math.round(rss / MB), heapMb: Math.round(heapUsed / MB) },
     ...{ connections: connections.size, workers: connections.workers },
+    lateMs: Math.round(node.lag.lateMs),
   };
   log.info(usage, 'usage');
 }
@@ -103,7 +104,7 @@
   const listenBy = systemClock.now() + LISTEN_AFTER_MS;
   while (!node.informed && systemClock.now() < listenBy) await systemClock.sleep(10);
   await server.listen({ host: host ?? '', port: Number(port), backlog: sockets.backlog });
-  void runLoop('usage', () => reportUsage(log, connections), { clock: systemClock, log, signal });
+  void runLoop('usage', () => reportUsage(log, connections, node), { clock: systemClock, log, signal });
   const { bind, back } = platform;
   const startMs = Math.round(systemClock.now());
   log.info({ bind, back, blockLeaseMs: settings.blockLeaseMs, startMs, code }, 'serving');
--- a/src/coordination/deps.ts
+++ b/src/coordination/deps.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../base/clock';
+import type { Lag } from '../base/lag';
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
@@ -18,6 +19,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  readonly lag: Lag;
   readonly store: StateStore;
   readonly cache: WatchCache;
   readonly session: Session;
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -53,7 +53,7 @@
   /** One step of renting; to be run in a loop. */
   async rentStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
-    if (signal.aborted || !this.fleet.entitled) return;
+    if (signal.aborted || !this.fleet.entitled || !this.deps.lag.mayRent) return;
     const now = this.deps.clock.now();
     const input = this.fleet.fleetInput((option) => (this.#refusedUntil.get(optionKey(option)) ?? 0) > now);
     if (!input) return;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,4 +1,5 @@
 import { Wake, type Clock } from '../base/clock';
+import { Lag } from '../base/lag';
 import type { Log } from '../base/log';
 import { runLoop } from '../base/loop';
 import type { Random } from '../base/random';
@@ -110,6 +111,7 @@
     this.jobs = new JobStore(stateStore, clock, announce);
     this.#deps = {
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
+      lag: new Lag(clock),
       ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
       ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers, announce },
       types: () => this.#types,
@@ -140,6 +142,7 @@
     const loop = (name: string, step: () => Promise<void>, pauseMs?: number): void => {
       void runLoop(name, step, { clock, log, signal }, pauseMs);
     };
+    loop('lag', () => this.#deps.lag.step(signal));
     loop('watch', () => this.#cache.step(), 300);
     loop('session', () => this.#session.step(signal), 300);
     loop('leader', async () => {
@@ -198,6 +201,11 @@
     return this.#peersFreshAt < this.#cache.freshAt + FRESH_FOR_MS + NOTICE_SPREAD_MS;
   }
 
+  /** How this process keeps up with its work. */
+  get lag(): Lag {
+    return this.#deps.lag;
+  }
+
   /** Adds what is known of a live job's progress, for display. */
   withProgress(status: JobStatus): JobStatus {
     const progress = this.#progress.get(status.id);
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -54,7 +54,7 @@
     this.#heedNotices(now);
     this.#eager(now);
     this.#retire(now);
-    this.#consolidate(now);
+    if (this.deps.lag.mayMeasure) this.#consolidate(now);
   }
 
   /** Finds room for what waits. True: the time was up before all had their turn. */
@@ -287,6 +287,7 @@
       if (machine) machine.leaving ??= 'silent';
     }
     if (candidates.length === 0 || !this.#complete || this.#unplaced.size > 0) return;
+    if (!this.deps.lag.mayMeasure) return;
     const rooms = [...this.block.machines.values()]
       .filter((m) => this.block.usable(m, now))
       .map((m) => ({ m, room: m.free() }));
--- a/test/lean.test.ts
+++ b/test/lean.test.ts
@@ -9,6 +9,7 @@
 import { codec } from '../src/protocol/codec';
 import { HttpClient, NoAnswer } from '../src/transport/http-client';
 import { FakeClock } from './fakes/clock';
+import { submission } from './fakes/submission';
 import { World } from './fakes/world';
 
 test('from an eighth of a core on nothing changes with the quota; below, budgets and blocks make up for it', () => {
@@ -104,6 +105,43 @@
   assert.deepEqual(ends, [30, 30, 100, 330]);
 });
 
+test('a process that falls behind gives way in order, and workers, leases and the health probe last', async () => {
+  const world = new World();
+  const owner = await world.untilOwned();
+  const controller = world.controllers[owner];
+  assert.ok(controller);
+  await world.submit('req-1', { pieces: 4 }, 60);
+  await world.until('its tasks run', () => world.running.length === 4);
+  const { lag } = controller.node;
+  const givesWay = (): boolean[] => [lag.mayMeasure, lag.mayRent, lag.maySubmit];
+  assert.deepEqual(givesWay(), [true, true, true]);
+  const standStill = async (ms: number): Promise<void> => {
+    const thaw = world.freeze(owner);
+    await world.clock.advance(ms);
+    thaw();
+    await world.clock.advance(0);
+  };
+  await standStill(600);
+  assert.deepEqual(givesWay(), [false, true, true]);
+  await standStill(1400);
+  assert.deepEqual(givesWay(), [false, false, true]);
+  await standStill(2600);
+  assert.deepEqual(givesWay(), [false, false, false]);
+  // New work is told at once when to come back; what is known is told, workers and the probe are answered.
+  const asked = world.clock.now();
+  assert.equal((await world.ask(owner, 'POST', '/work', submission('req-2'))).status, 503);
+  assert.ok(world.clock.now() - asked < 100);
+  assert.equal((await world.ask(owner, 'GET', '/up')).status, 200);
+  const worker = [...world.workers.values()][0];
+  assert.ok(worker);
+  assert.equal((await world.ask(owner, 'POST', '/hello', worker.report())).status, 200);
+  assert.ok(controller.node.owners.get(0)?.entitled, 'its lease is renewed all the while');
+  await world.clock.advance(3000);
+  assert.deepEqual(givesWay(), [true, true, true]);
+  assert.equal((await world.ask(owner, 'POST', '/work', submission('req-2'))).status, 201);
+  world.noRuleBroken();
+});
+
 test('idle connections of commands use what workers leave, and make way for them', () => {
   const shares = shareSockets(700, 2);
   assert.equal(idleNow(shares, 0), shares.idle + shares.workers);
