--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -88,6 +88,8 @@
   sockets: SocketShares;
   /** What follows from the share of a core, and the operator's own word where there is one. */
   pace: Pace;
+  /** What may not work out, by the name of the setting. */
+  warnings: string[];
 }
 
 const MAX_BLOCK_LEASE_MS = 30_000;
@@ -95,6 +97,8 @@
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
 const MIN_BLOCK_LEASE_MS = 2_000;
+/** With the runtime's flags as `deploy/service.toml` has them; figures in docs/PERFORMANCE.md. */
+const LEAST_MEMORY_MB = 100;
 /** Connections that a node can't do without: a few workers, users and the health probe. */
 const LEAST_INBOUND = 16;
 
@@ -155,7 +159,14 @@
     blocks: o.blocks ?? derived.blocks,
     roundBudgetMs: o.round_budget_ms ?? derived.roundBudgetMs,
   };
-  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets, pace };
+  const { mem_mb } = p.deployment.quota;
+  const warnings =
+    mem_mb < LEAST_MEMORY_MB
+      ? [
+          `${files[0]}: deployment.quota.mem_mb: ${mem_mb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
+        ]
+      : [];
+  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets, pace, warnings };
 }
 
 export function readSettings(platformFile: string, operatorFile?: string): Settings {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -78,6 +78,7 @@
         blockLeaseMs: settings.blockLeaseMs,
         sockets: settings.sockets,
         pace: settings.pace,
+        warnings: settings.warnings,
       };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
     });
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -39,6 +39,7 @@
 export async function serve(settings: Settings, code: string): Promise<void> {
   const { platform, sockets } = settings;
   const log = createLog(levelFromEnv(process.env.LOG_LEVEL), platform.node);
+  for (const warning of settings.warnings) log.warn(warning);
   // A process never ends by itself: what no loop caught is logged, and the loops go on.
   process.on('uncaughtException', (error) => {
     log.error({ err: describe(error), stack: error.stack }, 'uncaught');
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -153,4 +153,11 @@
   assert.match(broken(none, { blokcs: 2 }), /^o\.toml: .*blokcs/);
   assert.match(broken(none, { block_lease_s: 22 }), /^o\.toml: block_lease_s: /);
   assert.equal(broken(none, { block_lease_s: 21 }), 'no error');
+  const little = platform() as Record<string, Record<string, unknown>>;
+  (little.deployment ?? {}).quota = { mem_mb: 90 };
+  assert.match(
+    makeSettings(little, {}, ['p.toml']).warnings.join(),
+    /^p\.toml: deployment\.quota\.mem_mb: 90 MB/,
+  );
+  assert.deepEqual(makeSettings(platform(), {}).warnings, []);
 });
