--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -88,6 +88,17 @@
   profiles: string;
 }
 
+/** A load that hangs, or breaks off, must leave no controllers behind: they would spoil the next one. */
+const LONGEST_MS = 10 * 60_000;
+const children = new Set<ChildProcess>();
+setTimeout(() => {
+  console.error('the load took too long');
+  process.exit(1);
+}, LONGEST_MS).unref();
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+
 let life = 0;
 async function start(index: number): Promise<Controller> {
   const name = nodes[index]?.name ?? '';
@@ -103,6 +114,8 @@
     [...args.flags.split(' '), `--require=./${PROFILE_HOOK}`, ...profiling, args.bundle, '--config', config],
     { stdio: ['ignore', 'ignore', 'pipe'] },
   );
+  children.add(child);
+  child.once('exit', () => children.delete(child));
   child.stderr.on('data', (bytes: Buffer) => {
     writeFileSync(`${args.out}/${name}.log`, bytes, { flag: 'a' });
   });
