--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -7,6 +7,8 @@
 import { holdsRoom, Machine } from './machine';
 import type { TeamLimits, TeamUse } from './placement';
 
+/** So many machines that have not shown our token yet hold nothing up: they are asked directly. */
+const FEW_UNSETTLED = 64;
 const TRIES_MS = 2_000;
 /** After a takeover the first workers come within this time, and each next one. */
 const COME_ON_MS = 1_500;
@@ -42,9 +44,9 @@
     readonly wake: () => void,
   ) {
     this.takenAt = deps.clock.now();
-    const { operator, platform, pace } = deps.settings;
+    const { operator, platform } = deps.settings;
     const { report_s, lease_s } = platform.deployment.workers;
-    this.#comingMs = (report_s * 1250 + TRIES_MS) * pace.slower;
+    this.#comingMs = report_s * 1250 + TRIES_MS;
     this.teams = new Map(
       platform.deployment.teams.filter((t) => teams.includes(t.name)).map((t) => [t.name, t]),
     );
@@ -110,12 +112,8 @@
    * more of them come.
    */
   workersAreComing(now: number): boolean {
-    const { fewUnsettled, slower } = this.deps.settings.pace;
-    if (this.unsettled.size <= fewUnsettled) return false;
-    return (
-      now < this.takenAt + this.#comingMs &&
-      now < Math.max(this.takenAt, this.#settledAt) + COME_ON_MS * slower
-    );
+    if (this.unsettled.size <= FEW_UNSETTLED) return false;
+    return now < this.takenAt + this.#comingMs && now < Math.max(this.takenAt, this.#settledAt) + COME_ON_MS;
   }
 
   nextCounter(): number {
