--- a/test/lean.test.ts
+++ b/test/lean.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
@@ -161,6 +162,14 @@
   world.noRuleBroken();
 });
 
+test('the code that the build keeps is for the flags that the program is run with: for others it would be refused', () => {
+  const flags = /node ((?:--\S+ )+)target\/main\.js/;
+  const run = flags.exec(readFileSync('deploy/service.toml', 'utf8'))?.[1];
+  const build = flags.exec(readFileSync('package.json', 'utf8'))?.[1];
+  assert.ok(run);
+  assert.equal(build, run);
+});
+
 test('idle connections of commands use what workers leave, and make way for them', () => {
   const shares = shareSockets(700, 2);
   assert.equal(idleNow(shares, 0), shares.idle + shares.workers);
