--- a/src/base/pace.ts
+++ b/src/base/pace.ts
@@ -20,11 +20,11 @@
 const ROUND_PAUSE_MS = 200;
 const WATCH_PACE_MS = 100;
 
-export function paceFor(cpu: number, controllers: number, teams: number): Pace {
+export function paceFor(cpu: number, controllers: number): Pace {
   const slower = Math.max(1, ENOUGH_CPU / cpu);
   return {
     // One block pools spare room; more of them spread reports, rounds and takeovers (docs/EXPERIMENTS.md).
-    blocks: Math.min(controllers, teams, Math.ceil(slower)),
+    blocks: Math.min(controllers, Math.ceil(slower)),
     roundBudgetMs: Math.round(ROUND_BUDGET_MS * slower),
     roundPauseMs: Math.round(ROUND_PAUSE_MS * slower),
     watchPaceMs: Math.round(WATCH_PACE_MS * slower),
--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -153,7 +153,7 @@
       `${files[0]}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
     );
   }
-  const derived = paceFor(p.deployment.quota.cpu, p.others.length + 1, p.deployment.teams.length);
+  const derived = paceFor(p.deployment.quota.cpu, p.others.length + 1);
   const pace = {
     ...derived,
     blocks: o.blocks ?? derived.blocks,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -5,14 +5,9 @@
 
 const STRAY_AGE_S = 5;
 const STRAYS_AT_ONCE = 10;
-/** A node that came so lately may still be bound by a promise of its earlier life, and take nothing. */
-const NEWCOMER_MS = 3_000;
 
 /** The leader leases blocks to live nodes, and takes machines that no record names into a block. It does no more. */
 export class Leader {
-  /** Since when each node's present record is known here. */
-  readonly #nodes = new Map<string, { version: number; at: number }>();
-
   constructor(
     private readonly deps: Deps,
     private readonly cloud: CloudView,
@@ -47,7 +42,6 @@
 
   async #assign(): Promise<void> {
     const { cache, settings } = this.deps;
-    this.#meet();
     const nodes = [...cache.under(PREFIX.node)]
       .sort((a, b) => a.version - b.version)
       .map((e) => e.key.slice(PREFIX.node.length));
@@ -74,14 +68,6 @@
     await this.#balance(load);
   }
 
-  #meet(): void {
-    const { cache, clock } = this.deps;
-    for (const { key, version } of cache.under(PREFIX.node)) {
-      const node = key.slice(PREFIX.node.length);
-      if (this.#nodes.get(node)?.version !== version) this.#nodes.set(node, { version, at: clock.now() });
-    }
-  }
-
   /** After the end of all nodes the one that held the block last may take it at once; the others wait a while. */
   #wantsBack(
     record: BlockRecord,
@@ -93,16 +79,10 @@
     return this.deps.cache.get(KEY.lease(block)) === undefined;
   }
 
-  /**
-   * After a death some node has more blocks than another that came back: one at a time, they are spread again. Not to a
-   * newcomer: it could not take the block yet, which had no owner for seconds, or was given back at once by a leader as
-   * young, to and fro (incident inc-4ebc).
-   */
+  /** After a death some node has more blocks than another that came back: one at a time, they are spread again. */
   async #balance(load: ReadonlyMap<string, number>): Promise<void> {
     const sorted = [...load].sort((a, b) => a[1] - b[1]);
-    const now = this.deps.clock.now();
-    const least = sorted.find(([node]) => now - (this.#nodes.get(node)?.at ?? now) > NEWCOMER_MS);
-    const most = sorted.at(-1);
+    const [least, most] = [sorted[0], sorted.at(-1)];
     if (!least || !most || most[1] - least[1] < 2) return;
     const { cache, settings } = this.deps;
     for (let block = 0; block < blockCount(cache, settings); block += 1) {
