--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -100,7 +100,7 @@
 });
 
 let life = 0;
-async function start(index: number): Promise<Controller> {
+function start(index: number): Controller {
   const name = nodes[index]?.name ?? '';
   const config = `${args.out}/${name}.toml`;
   writeFileSync(config, settingsOf(index));
@@ -119,7 +119,7 @@
   child.stderr.on('data', (bytes: Buffer) => {
     writeFileSync(`${args.out}/${name}.log`, bytes, { flag: 'a' });
   });
-  return Promise.resolve({ name, child, startedAt: performance.now(), profiles });
+  return { name, child, startedAt: performance.now(), profiles };
 }
 
 /** User and system time in milliseconds, and memory in MB. */
@@ -234,7 +234,7 @@
   });
 };
 
-let controllers = await Promise.all(nodes.map((_, i) => start(i)));
+let controllers = nodes.map((_, i) => start(i));
 await untilUp();
 tell('start', controllers);
 await realClock.sleep(20_000 + machines * 10);
@@ -265,7 +265,7 @@
 if (busiest[0]) print('start', busiest[0], 0, 1500);
 if (args['no-takeover']) process.exit(0);
 life = 1;
-controllers = await Promise.all(nodes.map((_, i) => start(i)));
+controllers = nodes.map((_, i) => start(i));
 const tokensBefore = Math.max(0, ...[...cloud.machines.values()].map(({ worker }) => worker.baton));
 await untilUp();
 tell('takeover, until all are ready', controllers);
