--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -21,24 +21,38 @@
   },
 };
 
-/** Resolves when woken, or after the given time; remembers a wake that came before the wait. */
+/**
+ * Resolves when woken, or after the given time at the latest; remembers a wake that came before the wait. A sleep that a
+ * wake cut short goes on and serves the next wait: ended and begun anew for each of the hundreds of wakes a second, its
+ * timer and the error of its end cost more than what the wake was for (docs/PERFORMANCE.md).
+ */
 export class Wake {
   #woken = false;
-  #waiter: AbortController | undefined;
+  #resolve: (() => void) | undefined;
+  #sleeping = false;
 
   constructor(private readonly clock: Clock) {}
 
   wake(): void {
     this.#woken = true;
-    this.#waiter?.abort();
+    this.#resolve?.();
   }
 
   async wait(ms: number): Promise<void> {
     if (!this.#woken) {
-      this.#waiter = new AbortController();
-      await this.clock.sleep(ms, this.#waiter.signal);
-      this.#waiter = undefined;
+      if (!this.#sleeping) void this.#sleep(ms);
+      await new Promise<void>((resolve) => {
+        this.#resolve = resolve;
+      });
+      this.#resolve = undefined;
     }
     this.#woken = false;
   }
+
+  async #sleep(ms: number): Promise<void> {
+    this.#sleeping = true;
+    await this.clock.sleep(ms);
+    this.#sleeping = false;
+    this.#resolve?.();
+  }
 }
--- a/src/base/sockets.ts
+++ b/src/base/sockets.ts
@@ -2,13 +2,13 @@
 export interface SocketShares {
   /** Connections that come in on the public address, all together. */
   readonly inbound: number;
-  /** Connections that the system holds ready for us. */
-  readonly backlog: number;
   /** Of these, how many workers may hold. What is left over is always the users' and the health probe's. */
   readonly workers: number;
+  /** Connections that the system holds ready for us. */
+  readonly backlog: number;
   /** Commands that may be out at once. */
   readonly commands: number;
-  /** Connections of ours that may lie idle, to be used again. */
+  /** Connections of ours that may always lie idle, to be used again; see `idleNow`. */
   readonly idle: number;
   /** Calls to the state service, and as many to the cloud. */
   readonly external: number;
@@ -31,7 +31,7 @@
 
 /**
  * One block's owner holds a connection of each of its machines. The more connections of ours stay open, the fewer are
- * left for that; so commands use few, and close most after use.
+ * left for that; so commands use few, and what they leave idle makes way as workers come.
  */
 export function shareSockets(limit: number, others: number): SocketShares {
   const commands = Math.floor(limit * COMMANDS_PART);
@@ -41,3 +41,12 @@
   const inbound = limit - OWN - PER_PEER * others - commands - idle - 2 * external - backlog;
   return { inbound, backlog, workers: Math.floor(inbound * WORKERS_PART), commands, idle, external };
 }
+
+/**
+ * How many connections of ours may lie idle at this moment: what those that come in leave of their share, less a reserve
+ * for those to come. To open one anew for a command costs several times the command, so no more are closed than must be
+ * (docs/PERFORMANCE.md).
+ */
+export function idleNow({ idle, workers }: SocketShares, open: number): number {
+  return idle + Math.max(0, workers - open);
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -23,7 +23,7 @@
 }
 
 async function ask(node: string, method: string, path: string, body?: unknown): Promise<void> {
-  const http = new HttpClient(codec, { perHost: 1, idle: 0 }, MAX_ANSWER_BYTES);
+  const http = new HttpClient(codec, { perHost: 1, idle: () => 0 }, MAX_ANSWER_BYTES);
   try {
     const answer = await http.call(node, method, path, body, ASK_TIMEOUT_MS);
     if (answer.status === 200 || answer.status === 201) {
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -3,6 +3,7 @@
 import { describe, runLoop } from '../base/loop';
 import { systemRandom } from '../base/random';
 import type { Settings } from '../base/settings';
+import { idleNow } from '../base/sockets';
 import { Node } from '../coordination/node';
 import { createRoutes } from '../coordination/routes';
 import { codec } from '../protocol/codec';
@@ -48,6 +49,11 @@
   const peers = platform.others.map(
     (other) => new PeerSender(other.peer_addr, { clock: systemClock, log, signal }),
   );
+  const workers = new HttpClient(
+    codec,
+    { perHost: 1, idle: () => idleNow(sockets, connections.size) },
+    MAX_ANSWER_BYTES,
+  );
   const node = new Node(settings, {
     clock: systemClock,
     // Node counts performance.now() from the start of the process.
@@ -56,8 +62,12 @@
     log,
     // Apart, for the idle connections of many workers must not push out those to the state service: opening one anew
     // fails when sockets have run out, and with it a lease's renewal.
-    http: new HttpClient(codec, { perHost: sockets.external, idle: 2 * sockets.external }, MAX_ANSWER_BYTES),
-    workers: new HttpClient(codec, { perHost: 1, idle: sockets.idle }, MAX_ANSWER_BYTES),
+    http: new HttpClient(
+      codec,
+      { perHost: sockets.external, idle: () => 2 * sockets.external },
+      MAX_ANSWER_BYTES,
+    ),
+    workers,
     broadcast: (bytes) => {
       for (const peer of peers) peer.send(bytes);
     },
@@ -75,6 +85,9 @@
       log.error({ err: describe(error) }, 'a request failed');
     },
   });
+  server.server.on('connection', () => {
+    workers.trim();
+  });
   listenForPeers(
     platform.back,
     (bytes) => {
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -25,6 +25,11 @@
 /** So many reports of a machine are answered though they don't show the token that the answers carry. */
 const MAX_UNPROVEN = 3;
 
+/** What an owner answers a report of its block. */
+export type OwnAnswer = { kind: 'accepted'; token: number; orders: Order[] } | { kind: 'undecided' };
+
+const UNDECIDED: OwnAnswer = { kind: 'undecided' };
+
 /**
  * The owner of one block. It holds what is wanted (jobs) and what is (machines and their attempts), and works out the
  * difference in rounds. It acts only while the session is valid.
@@ -183,13 +188,19 @@
 
   // What workers tell us.
 
-  /** Takes a report; returns the answer's token and orders, or undefined if we are not entitled to answer. */
-  async report(report: Report): Promise<{ token: number; orders: Order[] } | undefined> {
+  /** Takes a report. Undecided: we are not entitled to answer. */
+  report(report: Report): OwnAnswer | Promise<OwnAnswer> {
     const machine = this.machines.get(report.machine);
     // A report of a machine that the cloud has ended is a late copy: it brings nothing back.
-    if (!machine || machine.gone || !this.entitled) return undefined;
-    if (!machine.up && !(await this.#upRecords.record(machine, report.address))) return undefined;
-    if (!this.entitled || machine.gone || this.machines.get(machine.id) !== machine) return undefined;
+    if (!machine || machine.gone || !this.entitled) return UNDECIDED;
+    if (machine.up) return this.#take(machine, report);
+    return this.#upRecords
+      .record(machine, report.address)
+      .then((recorded) => (recorded ? this.#take(machine, report) : UNDECIDED));
+  }
+
+  #take(machine: Machine, report: Report): OwnAnswer {
+    if (!this.entitled || machine.gone || this.machines.get(machine.id) !== machine) return UNDECIDED;
     const now = this.deps.clock.now();
     if (!machine.settled && report.token < this.#block.token) {
       // It may be a copy from before we took the block, held up for long: only our token, or the answer to a question
@@ -197,7 +208,7 @@
       machine.sessionHint = report.session;
       machine.unproven += 1;
       // Answers don't reach it. Counted as answered again and again, its lease would never end for us.
-      if (machine.unproven > MAX_UNPROVEN) return undefined;
+      if (machine.unproven > MAX_UNPROVEN) return UNDECIDED;
     } else {
       const isNews = machine.isNews(report);
       this.#absorb(machine, report);
@@ -206,7 +217,7 @@
     const orders = this.#commander.orders(machine, false);
     // Counted from now, which is later than when the worker sent the report: its own lease ends before ours of it.
     machine.answeredAt = now;
-    return { token: this.#block.token, orders };
+    return { kind: 'accepted', token: this.#block.token, orders };
   }
 
   #absorb(machine: Machine, report: Report): void {
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -26,6 +26,8 @@
   /** Steady time at which this owner took it. */
   readonly takenAt: number;
   stopped = false;
+  /** A command ended without showing what became of a start that it carried. */
+  startsInDoubt = false;
   #counter = 0;
   #settledAt = -Infinity;
   /** Each worker reports in this time, having tried other nodes, a second each. */
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -162,6 +162,8 @@
       for (const attempt of sent) this.attempts().neverStarted(machine, attempt.key);
       if (result.kind === 'not sent') machine.avoid(now);
     }
+    if (sent.some((a) => a.phase === 'sent' && machine.attempts.get(a.key) === a))
+      this.block.startsInDoubt = true;
     if (machine.unanswered) {
       this.deps.log.debug({ machine: machine.id, result: result.kind }, 'command unanswered');
       if (result.kind === 'unknown') {
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -9,12 +9,12 @@
 import { Session } from '../bookkeeping/session';
 import { WatchCache } from '../bookkeeping/watch-cache';
 import { Cloud } from '../protocol/cloud';
-import type { JobStatus, MachineType, Order, Report } from '../protocol/model';
+import type { JobStatus, MachineType, Report } from '../protocol/model';
 import { readPeerMessage, writePeerMessage, type JobProgress, type PeerMessage } from '../protocol/peers';
 import { HttpStateStore, type Event, type StateStore } from '../protocol/state';
 import type { HttpCaller } from '../transport/http-client';
 import { RateLimit } from '../transport/rate-limit';
-import { BlockOwner } from './block-owner';
+import { BlockOwner, type OwnAnswer } from './block-owner';
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 import { Keeping } from './keeping';
@@ -54,10 +54,7 @@
 const PEER_MEMORY_MS = 3_500;
 const MAX_PROGRESS = 2_000;
 
-export type ReportAnswer =
-  | { kind: 'accepted'; token: number; orders: Order[] }
-  | { kind: 'elsewhere'; owner: string | undefined }
-  | { kind: 'undecided' };
+export type ReportAnswer = OwnAnswer | { kind: 'elsewhere'; owner: string | undefined };
 
 /** One controller: its copy of the records, its lease, and the blocks that it owns. */
 export class Node {
@@ -213,12 +210,11 @@
     return this.#progress.get(id)?.done ?? 0;
   }
 
-  async report(report: Report): Promise<ReportAnswer> {
+  report(report: Report): ReportAnswer | Promise<ReportAnswer> {
     if (!this.#cache.loaded) return { kind: 'undecided' };
     for (const owner of this.#owners.values()) {
       if (owner.stopped || !owner.machines.has(report.machine)) continue;
-      const answer = await owner.report(report);
-      return answer ? { kind: 'accepted', ...answer } : { kind: 'undecided' };
+      return owner.report(report);
     }
     const record = read.machine(this.#cache.get(KEY.machine(report.machine))?.value);
     // The leader takes it in when the cloud lists it; until then nobody answers for it.
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -4,7 +4,7 @@
 import { JOB_ID, readSubmission, typeAllows, writeStanding, writeStatus } from '../protocol/users';
 import { readReport, writeRedirect, writeReportAnswer } from '../protocol/workers';
 import type { HttpReply, Route } from '../transport/http-server';
-import type { Node } from './node';
+import type { Node, ReportAnswer } from './node';
 
 const RETRY_AFTER_S = 1;
 
@@ -22,6 +22,14 @@
   return undefined;
 }
 
+function toWorker(answer: ReportAnswer): HttpReply {
+  if (answer.kind === 'accepted') {
+    return { status: 200, body: writeReportAnswer(answer.token, answer.orders) };
+  }
+  if (answer.kind === 'elsewhere') return { status: 421, body: writeRedirect(answer.owner) };
+  return { status: 503, body: { error: 'not now' } };
+}
+
 /** The interface for users and workers. Each request that can't be decided now is answered at once with 503. */
 export function createRoutes(node: Node, log: Log): Route[] {
   const { teams } = node.settings.platform.deployment;
@@ -30,9 +38,10 @@
     return { status: 503, body: { error: 'not now' }, retryAfterS: RETRY_AFTER_S };
   };
   const guarded = (handle: Route['handle']): Route['handle'] => {
-    return async (request) => {
+    return (request) => {
       try {
-        return await handle(request);
+        const handled = handle(request);
+        return handled instanceof Promise ? handled.catch(undecided) : handled;
       } catch (error) {
         return undecided(error);
       }
@@ -92,15 +101,11 @@
       method: 'POST',
       url: '/hello',
       use: 'workers',
-      handle: guarded(async ({ body }) => {
+      handle: guarded(({ body }) => {
         const report = readReport(body);
         if (!report) return { status: 400, body: { error: 'not a report' } };
-        const answer = await node.report(report);
-        if (answer.kind === 'accepted') {
-          return { status: 200, body: writeReportAnswer(answer.token, answer.orders) };
-        }
-        if (answer.kind === 'elsewhere') return { status: 421, body: writeRedirect(answer.owner) };
-        return { status: 503, body: { error: 'not now' } };
+        const answer = node.report(report);
+        return answer instanceof Promise ? answer.then(toWorker) : toWorker(answer);
       }),
     },
   ];
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -1,4 +1,4 @@
-import { PRIORITY_RANK, takeFrom } from '../protocol/model';
+import { PRIORITY_RANK, takeFrom, type Job } from '../protocol/model';
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { chooseConsolidation, type SparseMachine } from './consolidation';
@@ -16,8 +16,9 @@
 const NEARLY_DONE_S = 5;
 /** How long a machine may hold up a block that was taken over before it is returned. */
 const HELD_UP_MS = 5_000;
-/** Preemption walks over all that runs; what it stops takes seconds to go. */
+/** Preemption walks over all that runs; what it stops takes seconds to go. So it gets one part in so many of the time. */
 const PREEMPT_EVERY_MS = 250;
+const PREEMPT_PART = 10;
 const CONSOLIDATE_EVERY_MS = 2_000;
 /** A task that began so recently is not moved. */
 const STAY_S = 10;
@@ -26,13 +27,15 @@
 /** Work that is to start within so many boot times is not left to wait for room that comes free. */
 const START_IN_BOOTS = 3;
 
+const EPSILON = 1e-6;
+
 /** The decisions of a block's rounds: which attempts to issue, and which to stop. */
 export class Scheduler {
   #cursor = 0;
   #unplaced = new Map<string, number>();
   #complete = false;
   #completeOnce = false;
-  #preemptedAt = -Infinity;
+  #preemptAt = -Infinity;
   #consolidatedAt = -Infinity;
 
   constructor(
@@ -80,9 +83,10 @@
     this.#complete = result.cursor === undefined;
     if (!this.#complete) return true;
     this.#completeOnce = true;
-    if (this.#unplaced.size > 0 && now - this.#preemptedAt >= PREEMPT_EVERY_MS) {
-      this.#preemptedAt = now;
+    if (this.#unplaced.size > 0 && now >= this.#preemptAt) {
       this.#preempt(turns, now, timeIsUp);
+      const took = this.deps.clock.now() - now;
+      this.#preemptAt = now + Math.max(PREEMPT_EVERY_MS, took * PREEMPT_PART);
     }
     return false;
   }
@@ -153,11 +157,24 @@
     return longest;
   }
 
+  /** Whether anything may be stopped for the job at all: of a lower priority, or for its team's guarantee. */
+  #mayStopAny(job: Job, use: ReturnType<Block['use']>): boolean {
+    const team = this.block.teams.get(job.team);
+    const used = use.get(job.team)?.cpus ?? 0;
+    if (team && team.cpus > 0 && used + job.cpus <= team.cpus + EPSILON) return true;
+    for (const { job: other, issued } of this.block.tables.values()) {
+      if (issued.size > 0 && PRIORITY_RANK[other.priority] > PRIORITY_RANK[job.priority]) return true;
+    }
+    return false;
+  }
+
   #preempt(turns: readonly Turn[], now: number, timeIsUp: () => boolean): void {
+    const use = this.block.use();
     const unplaced = turns
       .filter((turn) => turn.kind === 'usual')
       .map(({ waiting }) => ({ waiting, count: this.#unplaced.get(waiting.job.id) ?? 0 }))
-      .filter(({ count }) => count > 0);
+      .filter(({ count, waiting }) => count > 0 && this.#mayStopAny(waiting.job, use));
+    // Mostly so: walking over all that runs to find nothing took a tenth of the owner's time (docs/PERFORMANCE.md).
     if (unplaced.length === 0) return;
     const machines: CrowdedMachine[] = [];
     for (const m of this.block.machines.values()) {
@@ -176,7 +193,6 @@
       const { id, type, record } = m;
       machines.push({ id, type, zone: record.zone, spot: record.spot, free: m.free(), tasks });
     }
-    const use = this.block.use();
     const { victims } = choosePreemptions({ unplaced, machines, teams: this.block.teams, use }, timeIsUp);
     for (const { key, machine: id } of victims) {
       const machine = this.block.machines.get(id);
--- a/src/coordination/token.ts
+++ b/src/coordination/token.ts
@@ -49,6 +49,15 @@
 
   #isNeeded(sinceMs: number): boolean {
     if (sinceMs < RAISE_IN_DOUBT_MS) return false;
+    // Nearly always there is nothing to find: walking over all attempts of a thousand machines four times a second took a
+    // twentieth of the owner's time (docs/PERFORMANCE.md).
+    if (!this.block.startsInDoubt && sinceMs < RAISE_TO_FORGET_MS) return false;
+    const inDoubt = this.#find(sinceMs);
+    if (!inDoubt) this.block.startsInDoubt = false;
+    return inDoubt;
+  }
+
+  #find(sinceMs: number): boolean {
     for (const machine of this.block.machines.values()) {
       for (const a of machine.attempts.values()) {
         if (issueToken(a.attempt) < this.block.token || a.inFlight || !a.posted) continue;
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -26,14 +26,14 @@
   call(target: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
 }
 
-/** Keeps so many idle connections and no more, the last used: a fleet's, one a machine, would use up all sockets. */
+/** Keeps so many idle connections and no more, the last used: a fleet's, one a machine, could use up all sockets. */
 class BoundedAgent extends Agent {
   /** The longest idle first, with what takes each out of here when it closes. */
   readonly #idle = new Map<Duplex, () => void>();
 
   constructor(
     socketsPerHost: number,
-    private readonly mostIdle: number,
+    private readonly mostIdle: () => number,
   ) {
     super({ keepAlive: true, maxSockets: socketsPerHost, maxFreeSockets: 4, scheduling: 'lifo' });
   }
@@ -47,31 +47,49 @@
     };
     this.#idle.set(socket, forget);
     socket.once('close', forget);
-    const [oldest] = this.#idle.keys();
-    if (this.#idle.size > this.mostIdle) oldest?.destroy();
+    this.trim();
     return true;
   }
 
   override reuseSocket(socket: Duplex, request: ClientRequest): void {
     const forget = this.#idle.get(socket);
     if (forget) socket.off('close', forget);
-    this.#idle.delete(socket);
+    forget?.();
     super.reuseSocket(socket, request);
   }
+
+  /** Ends what is idle beyond the bound, the longest idle first. */
+  trim(): void {
+    const most = this.mostIdle();
+    for (const [socket, forget] of this.#idle) {
+      if (this.#idle.size <= most) return;
+      // Off the list at once, for it closes in a later turn only: when many answers came in one turn, each ended the
+      // same connection again, and idle ones piled up far beyond the bound.
+      socket.off('close', forget);
+      forget();
+      socket.destroy();
+    }
+  }
 }
 
 /** A keep-alive HTTP client. An answer larger than the limit, or one that can't be decoded, counts as none. */
 export class HttpClient implements HttpCaller {
-  readonly #agent: Agent;
+  readonly #agent: BoundedAgent;
 
   constructor(
     private readonly codec: Codec,
-    sockets: { perHost: number; idle: number },
+    /** Connections to one host at a time, and idle ones in all, which may depend on the moment. */
+    sockets: { perHost: number; idle: () => number },
     private readonly maxAnswerBytes: number,
   ) {
     this.#agent = new BoundedAgent(sockets.perHost, sockets.idle);
   }
 
+  /** Fewer connections may lie idle than before. */
+  trim(): void {
+    this.#agent.trim();
+  }
+
   close(): void {
     this.#agent.destroy();
   }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,4 +1,4 @@
-import fastify, { type FastifyInstance } from 'fastify';
+import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
 import { Connections, type ConnectionLimits, type Use } from './connections';
 
 export interface HttpRequest {
@@ -21,6 +21,7 @@
 }
 
 const EMPTY = new Uint8Array(0);
+const MESSAGE_PACK = 'application/msgpack';
 
 /** When to come back, for one connection too many. */
 const RETRY_AFTER_S = 1;
@@ -56,13 +57,16 @@
     return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
   };
   server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
-    done(null, body);
-  });
+  // The second by its name, too: only for named types does the parser skip taking the header apart on every request.
+  for (const type of ['*', MESSAGE_PACK]) {
+    server.addContentTypeParser(type, { parseAs: 'buffer' }, (_request, body, done) => {
+      done(null, body);
+    });
+  }
   server.setNotFoundHandler((_request, reply) => {
     void reply
       .code(404)
-      .type('application/msgpack')
+      .type(MESSAGE_PACK)
       .send(send({ status: 404 }));
   });
   server.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => {
@@ -70,31 +74,44 @@
     if (status === 503) options.onError(error);
     void reply
       .code(status)
-      .type('application/msgpack')
+      .type(MESSAGE_PACK)
       .send(send({ status, body: { error: error.message } }));
   });
+  const answer = (reply: FastifyReply, { status, body, retryAfterS }: HttpReply): void => {
+    if (retryAfterS !== undefined) reply.header('retry-after', Math.ceil(retryAfterS));
+    void reply.code(status).header('content-type', MESSAGE_PACK).send(send({ status, body }));
+  };
   for (const route of routes) {
     server.route({
       method: route.method,
       url: route.url,
-      handler: async (request, reply) => {
+      // Most reports are answered in the turn that brings them, without a promise: a thousand workers send hundreds a second.
+      handler: (request, reply) => {
         const { socket } = request.raw;
         reply.raw.once('close', () => {
           connections.ends(socket);
         });
         if (!connections.begins(socket, route.use)) {
-          reply.header('retry-after', RETRY_AFTER_S).header('connection', 'close');
-          return reply
-            .code(503)
-            .type('application/msgpack')
-            .send(send({ status: 503 }));
+          reply.header('connection', 'close');
+          answer(reply, { status: 503, retryAfterS: RETRY_AFTER_S });
+          return;
         }
-        const answer = await route.handle({
+        const handled = route.handle({
           params: request.params as Record<string, string>,
           body: request.body instanceof Uint8Array ? request.body : EMPTY,
         });
-        if (answer.retryAfterS !== undefined) reply.header('retry-after', Math.ceil(answer.retryAfterS));
-        return reply.code(answer.status).type('application/msgpack').send(send(answer));
+        if (!(handled instanceof Promise)) {
+          answer(reply, handled);
+          return;
+        }
+        handled.then(
+          (later) => {
+            answer(reply, later);
+          },
+          (error: unknown) => {
+            reply.send(error);
+          },
+        );
       },
     });
   }
--- a/test/jobs.test.ts
+++ b/test/jobs.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Bitmap } from '../src/bookkeeping/bitmap';
-import { submission, World } from './fakes/world';
+import { submission } from './fakes/submission';
+import { World } from './fakes/world';
 
 test('a job runs to its end, and every node says so', async () => {
   const world = new World();
--- /dev/null
+++ b/test/load/main.ts
@@ -0,0 +1,271 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdirSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { performance } from 'node:perf_hooks';
+import { parseArgs } from 'node:util';
+import { codec } from '../../src/protocol/codec';
+import { HttpClient, NoAnswer } from '../../src/transport/http-client';
+import { FakeStateService } from '../fakes/state-service';
+import { submission } from '../fakes/submission';
+import type { JobFacts } from '../fakes/worker';
+import { sharesOf } from './profile';
+import { LoadCloud, Loopback, realClock } from './stand-ins';
+
+/**
+ * A load without any bench: controllers as real processes, everything else as stand-ins, all on loopback. Tells where
+ * processor time and memory go: quiet, at a start, and in a takeover after all controllers ended.
+ */
+const { values: args } = parseArgs({
+  options: {
+    machines: { type: 'string', default: '1000' },
+    report: { type: 'string', default: '3' },
+    seconds: { type: 'string', default: '30' },
+    controllers: { type: 'string', default: '3' },
+    bundle: { type: 'string', default: 'target/load/main.js' },
+    flags: { type: 'string', default: '--max-old-space-size=96' },
+    functions: { type: 'string', default: '25' },
+    out: { type: 'string', default: 'target/load/run' },
+    'no-profile': { type: 'boolean', default: false },
+    'no-takeover': { type: 'boolean', default: false },
+  },
+});
+const machines = Number(args.machines);
+const seconds = Number(args.seconds);
+const STATE = '127.2.0.1:2379';
+const CLOUD = '127.2.0.2:8443';
+const PROFILE_HOOK = 'target/load/end.cjs';
+const nodes = Array.from({ length: Number(args.controllers) }, (_, i) => ({
+  name: `node-${i}`,
+  address: `127.3.0.${i + 1}:8080`,
+  back: `127.3.0.${i + 1}:8081`,
+}));
+const TEAMS = ['red', 'blue', 'green', 'white', 'black', 'grey'];
+/** What comes in a second for a thousand machines, which it fills about half. */
+const KINDS = [
+  { perS: 1, fields: { docket: 'small', urgency: 'urgent', pieces: 20, cpus: 2, memGb: 2.5, reckonS: 20 } },
+  { perS: 0.3, fields: { docket: 'wide', urgency: 'urgent', pieces: 50, cpus: 4, memGb: 5, reckonS: 50 } },
+  {
+    perS: 0.2,
+    fields: { docket: 'long', pieces: 30, cpus: 8, memGb: 8, reckonS: 70, bookmarkS: 20, stashS: 6 },
+  },
+];
+
+rmSync(args.out, { recursive: true, force: true });
+mkdirSync(args.out, { recursive: true });
+// The profile is written when a process ends by itself; ours run until something kills them.
+writeFileSync(PROFILE_HOOK, "process.on('SIGTERM', () => process.exit(0));\n");
+
+const network = new Loopback();
+const state = new FakeStateService(realClock);
+const facts = new Map<string, JobFacts>();
+const cloud = new LoadCloud(
+  ...([machines, 4000, nodes, { reportS: Number(args.report), leaseS: 26 }, network] as const),
+  (job) => facts.get(job),
+);
+network.attach(STATE, (request) => state.handle(request));
+network.attach(CLOUD, cloud.handle);
+
+const settingsOf = (index: number): string => {
+  const own = nodes[index];
+  const others = nodes.filter((n) => n !== own);
+  return [
+    `node = "${own?.name}"\narea = "a"\nbind = "${own?.address}"\nback = "${own?.back}"`,
+    ...others.map((o) => `[[others]]\nnode = "${o.name}"\narea = "a"\npeer_addr = "${o.back}"`),
+    `[external]\ncloud = "${CLOUD}"\nstate = "${STATE}"`,
+    '[deployment]\nzones = ["a", "b"]\ntime_bound_ms = 100.0',
+    ...TEAMS.map((t) => `[[deployment.teams]]\nname = "${t}"`),
+    '[[deployment.objectives]]\nkind = "wait"\nclass = "small"\nwithin_s = 5.0\nshare = 0.8',
+    `[deployment.workers]\nreport_s = ${args.report}\nlease_s = 26.0\ncancel_s = 51.0`,
+    '[deployment.state]\nrps = 250.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 32',
+    '[deployment.cloud]\nrps = 4.0\nlist_lag_s = 0.0',
+    '[deployment.quota]\ncpu = 0.34\nmem_mb = 242.0\nfd_limit = 2500',
+  ].join('\n');
+};
+
+interface Controller {
+  name: string;
+  child: ChildProcess;
+  startedAt: number;
+  profiles: string;
+}
+
+let life = 0;
+async function start(index: number): Promise<Controller> {
+  const name = nodes[index]?.name ?? '';
+  const config = `${args.out}/${name}.toml`;
+  writeFileSync(config, settingsOf(index));
+  const profiles = `${args.out}/${name}-${life}`;
+  mkdirSync(profiles, { recursive: true });
+  const profiling = args['no-profile']
+    ? []
+    : ['--cpu-prof', `--cpu-prof-dir=${profiles}`, '--cpu-prof-interval=1000'];
+  const child = spawn(
+    process.execPath,
+    [...args.flags.split(' '), `--require=./${PROFILE_HOOK}`, ...profiling, args.bundle, '--config', config],
+    { stdio: ['ignore', 'ignore', 'pipe'] },
+  );
+  child.stderr.on('data', (bytes: Buffer) => {
+    writeFileSync(`${args.out}/${name}.log`, bytes, { flag: 'a' });
+  });
+  return Promise.resolve({ name, child, startedAt: performance.now(), profiles });
+}
+
+/** User and system time in milliseconds, and memory in MB. */
+function usageOf({ child }: Controller): { cpuMs: number; rssMb: number; peakMb: number } {
+  const stat = readFileSync(`/proc/${child.pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+  const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+  const mb = (field: string): number =>
+    Math.round(Number(new RegExp(`${field}:\\s+(\\d+)`).exec(status)?.[1]) / 1024);
+  return { cpuMs: (Number(stat[11]) + Number(stat[12])) * 10, rssMb: mb('VmRSS'), peakMb: mb('VmHWM') };
+}
+
+const http = new HttpClient(codec, { perHost: 200, idle: () => 200 }, 1 << 20);
+const counts = { accepted: 0, refused: 0, unanswered: 0, polls: 0, done: 0 };
+const open = new Set<string>();
+async function ask(method: string, path: string, body?: unknown): Promise<{ status: number; body: unknown }> {
+  const node = nodes[Math.floor(Math.random() * nodes.length)];
+  try {
+    return await http.call(node?.address ?? '', method, path, body, 2000);
+  } catch (error) {
+    if (!(error instanceof NoAnswer)) throw error;
+    counts.unanswered += 1;
+    return { status: 0, body: null };
+  }
+}
+
+let names = 0;
+async function user(fields: Record<string, unknown> & { cpus: number; reckonS: number }): Promise<void> {
+  names += 1;
+  const id = `req-${String(names).padStart(6, '0')}`;
+  const crew = TEAMS[names % TEAMS.length];
+  const job = submission(id, { ...fields, crew, build: `img-${names % 20}`, dueS: fields.reckonS * 3 });
+  facts.set(id, {
+    runS: fields.reckonS * (0.6 + 0.8 * Math.random()),
+    stashS: job.stashS as number,
+    bookmarkS: job.bookmarkS as number,
+    cpus: fields.cpus,
+  });
+  for (let tries = 0; tries < 60; tries += 1) {
+    const { status } = await ask('POST', '/work', job);
+    if (status === 200 || status === 201) break;
+    counts.refused += 1;
+    await realClock.sleep(1000);
+  }
+  counts.accepted += 1;
+  open.add(id);
+  while (open.has(id)) {
+    await realClock.sleep(5000);
+    counts.polls += 1;
+    const { body } = await ask('GET', `/work/${id}`);
+    if ((body as { standing?: string } | null)?.standing === 'done') open.delete(id);
+  }
+  counts.done += 1;
+}
+
+for (const { perS, fields } of KINDS) {
+  const everyMs = 1000 / (perS * (machines / 1000));
+  setInterval(() => void user(fields), everyMs).unref();
+  for (let i = 0; i < 20 * perS * (machines / 1000); i += 1) void user(fields);
+}
+
+function print(what: string, of: Controller, fromMs: number, toMs: number): void {
+  if (args['no-profile']) return;
+  const file = readdirSync(of.profiles)[0];
+  if (file === undefined) throw new Error(`no profile of ${of.name}`);
+  const { busyMs, parts, functions } = sharesOf(`${of.profiles}/${file}`, args.bundle, fromMs, toMs);
+  const rows = [...parts]
+    .sort((a, b) => b[1] - a[1])
+    .map(([p, ms]) => `${((100 * ms) / busyMs).toFixed(1).padStart(5)}% ${p}`);
+  console.log(
+    `\n${what}, ${of.name}: ${Math.round(busyMs)} ms of computing in ${Math.round((toMs - fromMs) / 1000)} s`,
+  );
+  console.log(rows.join('\n'));
+  const top = [...functions].sort((a, b) => b[1] - a[1]).slice(0, Number(args.functions));
+  console.log(
+    top.map(([name, ms]) => `    ${((100 * ms) / busyMs).toFixed(1).padStart(5)}% ${name}`).join('\n'),
+  );
+}
+
+async function ends(controllers: readonly Controller[]): Promise<void> {
+  await Promise.all(
+    controllers.map(
+      ({ child }) =>
+        new Promise((resolve) => {
+          child.once('exit', resolve);
+          child.kill('SIGTERM');
+        }),
+    ),
+  );
+}
+
+async function untilUp(): Promise<void> {
+  const waits = nodes.map(async ({ address }) => {
+    for (;;) {
+      const up = await http.call(address, 'GET', '/up', undefined, 1000).catch(() => undefined);
+      if (up?.status === 200) return;
+      await realClock.sleep(20);
+    }
+  });
+  await Promise.all(waits);
+}
+
+const tell = (what: string, all: readonly Controller[], since?: readonly { cpuMs: number }[]): void => {
+  all.forEach((c, i) => {
+    const { cpuMs, rssMb, peakMb } = usageOf(c);
+    const spent = cpuMs - (since?.[i]?.cpuMs ?? 0);
+    console.log(`${what} ${c.name}: ${spent} ms of processor time, ${rssMb} MB now, ${peakMb} MB at most`);
+  });
+};
+
+let controllers = await Promise.all(nodes.map((_, i) => start(i)));
+await untilUp();
+tell('start', controllers);
+await realClock.sleep(20_000 + machines * 10);
+const before = controllers.map(usageOf);
+const messages = (): number =>
+  [...cloud.machines.values()].reduce((sum, { worker }) => sum + worker.tally, 0);
+const messagesBefore = messages();
+const quietFrom = performance.now();
+const countsBefore = { ...counts };
+await realClock.sleep(seconds * 1000);
+const quietTo = performance.now();
+tell(`${seconds} s of steady work`, controllers, before);
+const perS = Math.round((messages() - messagesBefore) / seconds);
+console.log({
+  machines: cloud.machines.size,
+  messagesPerS: perS,
+  counts,
+  submitted: counts.accepted - countsBefore.accepted,
+});
+const first = controllers;
+await ends(first);
+const busiest = [...first].sort(
+  (a, b) => (before[first.indexOf(b)]?.cpuMs ?? 0) - (before[first.indexOf(a)]?.cpuMs ?? 0),
+);
+for (const c of [busiest[0], busiest.at(-1)]) {
+  if (c) print('steady', c, quietFrom - c.startedAt, quietTo - c.startedAt);
+}
+if (busiest[0]) print('start', busiest[0], 0, 1500);
+if (args['no-takeover']) process.exit(0);
+life = 1;
+controllers = await Promise.all(nodes.map((_, i) => start(i)));
+const tokensBefore = Math.max(0, ...[...cloud.machines.values()].map(({ worker }) => worker.baton));
+await untilUp();
+tell('takeover, until all are ready', controllers);
+while (
+  [...cloud.machines.values()].filter(({ worker }) => worker.baton > tokensBefore).length <
+  machines * 0.5
+) {
+  await realClock.sleep(50);
+}
+await realClock.sleep(8000);
+tell('takeover, first 8 s after half of the workers were answered', controllers);
+const takenFor = performance.now();
+await ends(controllers);
+const owner = [...controllers].sort((a, b) => sizeOf(b) - sizeOf(a))[0];
+if (owner) print('takeover', owner, 0, takenFor - owner.startedAt);
+process.exit(0);
+
+function sizeOf(of: Controller): number {
+  const file = readdirSync(of.profiles)[0];
+  return file === undefined ? 0 : readFileSync(`${of.profiles}/${file}`).length;
+}
