--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { makeSettings, PROMISE_MS } from '../src/base/settings';
+import { DRIFT } from '../src/bookkeeping/session';
 import { WatchCache } from '../src/bookkeeping/watch-cache';
 import type { Deps } from '../src/coordination/deps';
 import { Keeping } from '../src/coordination/keeping';
@@ -168,6 +170,20 @@
   }
 });
 
+function platform(lease_s: number, cancel_s: number): unknown {
+  return {
+    ...{ node: 'node-0', area: 'a', bind: '10.0.0.1:8080', back: '10.0.0.1:8081' },
+    external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
+    deployment: {
+      teams: [{ name: 'red' }],
+      workers: { report_s: 0.8, lease_s, cancel_s },
+      state: { rps: 200, write_rps: 100, value_kb: 16, txn_ops: 32 },
+      cloud: { rps: 5, list_lag_s: 2 },
+      quota: {},
+    },
+  };
+}
+
 /** A state service that has what a story says, and a copy of it with no pause between watches. */
 class Scripted {
   events: Event[] = [];
@@ -212,3 +228,19 @@
   assert.equal(kept.filter((e) => e.version <= 5_000).length, 500);
   assert.ok(kept.some((e) => e.version === 9_000));
 });
+
+test('the times that a cancellation may take add up to less than its bound, in all settings known', () => {
+  for (const [lease, cancel] of [
+    [10, 30],
+    [15.25, 35.25],
+    [26, 51],
+    [5, 11.5],
+  ] as const) {
+    const { blockLeaseMs, cancelDoubtMs } = makeSettings(platform(lease, cancel), {});
+    const leaseMs = lease * 1000 * (1 + 2 * DRIFT);
+    assert.ok(PROMISE_MS <= blockLeaseMs, 'an owner that is promised hears no later than one that is not');
+    assert.ok(cancelDoubtMs >= 3_000);
+    assert.ok(blockLeaseMs + cancelDoubtMs + leaseMs < cancel * 1000, `${lease} and ${cancel}`);
+  }
+  assert.throws(() => makeSettings(platform(5, 11), {}), /deployment\.workers\.cancel_s/);
+});
