The leader deletes completions of jobs that are over; every transaction lost, late or outlived

A cancellation deletes the job's record and left its bitmaps behind for good, in a prefix that every controller holds whole; so did an end after a write of completions that was carried out and never answered. The leader now deletes them, guarded on the job's absence.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -5,8 +5,12 @@
 
 const STRAY_AGE_S = 5;
 const STRAYS_AT_ONCE = 10;
+const SWEPT_AT_ONCE = 8;
 
-/** The leader leases blocks to live nodes, and takes machines that no record names into a block. It does no more. */
+/**
+ * The leader leases blocks to live nodes, takes machines that no record names into a block, and deletes completions of
+ * jobs that are over. It does no more.
+ */
 export class Leader {
   constructor(
     private readonly deps: Deps,
@@ -38,6 +42,7 @@
     if (!this.isLeader) return;
     await this.#assign();
     await this.#takeStrays();
+    await this.#sweep();
   }
 
   async #assign(): Promise<void> {
@@ -152,4 +157,26 @@
       this.deps.announce({ key: c.put, version: result.revision, value: c.value, deleted: false });
     }
   }
+
+  /**
+   * A cancellation leaves the job's completions behind, and so does an end whose writer never learnt that an earlier
+   * write of them was carried out: with no job left, no one else would ever delete them. That the job is over is
+   * proved inside the transaction; a job that is over never comes back.
+   */
+  async #sweep(): Promise<void> {
+    const { cache, store } = this.deps;
+    const orphans: { key: string; version: number; job: string }[] = [];
+    for (const { key, version } of cache.under(PREFIX.done)) {
+      const job = KEY.job(key.slice(PREFIX.done.length, key.lastIndexOf('/')));
+      if (!cache.get(job) && orphans.push({ key, version, job }) === SWEPT_AT_ONCE) break;
+    }
+    if (orphans.length === 0) return;
+    await store.txn(
+      orphans.flatMap(({ key, version, job }) => [
+        { key, version },
+        { key: job, version: 0 },
+      ]),
+      orphans.map(({ key }) => ({ delete: key })),
+    );
+  }
 }
--- /dev/null
+++ b/test/transactions.test.ts
@@ -0,0 +1,201 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Fate, Request } from './fakes/network';
+import { World } from './fakes/world';
+import { NoAnswer } from '../src/transport/http-client';
+
+type Change = { set?: string; delete?: string; data?: unknown };
+
+const LATE_MS = 12_000;
+
+const sets = (apply: Change[], prefix: string): Change[] =>
+  apply.filter((c) => c.set?.startsWith(prefix) === true);
+const deletes = (apply: Change[], prefix: string): boolean =>
+  apply.some((c) => c.delete?.startsWith(prefix) === true);
+const has = (apply: Change[], prefix: string, field: string, value: unknown): boolean =>
+  sets(apply, prefix).some((c) => (c.data as Record<string, unknown>)[field] === value);
+
+/** Every kind of transaction that a controller sends, told by what it changes. */
+const KINDS: Record<string, (apply: Change[], guards: { path: string }[]) => boolean> = {
+  'acceptance of a job': (apply) => sets(apply, 'live/job/').length > 0,
+  cancellation: (apply) => has(apply, 'final/', 'state', 'cancelled'),
+  'end of a job': (apply) => has(apply, 'final/', 'state', 'done'),
+  'completions so far': (apply) => sets(apply, 'live/done/').length > 0,
+  'taking of a block': (apply) =>
+    sets(apply, 'live/baton').length > 0 && sets(apply, 'live/block/').length > 0,
+  'raise of the token': (apply) =>
+    sets(apply, 'live/baton').length > 0 && sets(apply, 'live/block/').length === 0,
+  'assignment of a block': (apply) =>
+    sets(apply, 'live/block/').length > 0 && sets(apply, 'live/baton').length === 0,
+  'record of a rental': (apply) => has(apply, 'live/machine/', 'up', false),
+  'record that a machine is up': (apply) => has(apply, 'live/machine/', 'up', true),
+  'deletion of machine records': (apply) => deletes(apply, 'live/machine/'),
+  'record that a node keeps': (apply) => sets(apply, 'live/keep/').length > 0,
+  'end of keeping': (apply) => deletes(apply, 'live/keep/'),
+  'proof that nobody keeps': (apply, guards) =>
+    apply.length === 0 && guards.some((g) => g.path.startsWith('live/keep/')),
+  'leader record': (apply) => sets(apply, 'live/leader').length > 0,
+  'node record': (apply) => sets(apply, 'live/node/').length > 0,
+  'machine types': (apply) => sets(apply, 'live/types').length > 0,
+};
+
+function deployment(kind: string): World {
+  const world = new World();
+  world.capacity = 4;
+  if (kind === 'proof that nobody keeps') {
+    // It is needed only where returning a silent machine proves nothing.
+    const heal = world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    world.clock.after(70_000, heal);
+  }
+  return world;
+}
+
+/** Does to the first transactions of a kind what a story is about; counts them. */
+function strike(world: World, kind: string, times: number, fate: (request: Request) => Fate): () => number {
+  let struck = 0;
+  world.network.rule((request) => {
+    if (request.path !== '/txn' || struck >= times) return undefined;
+    const { apply = [], guards = [] } = request.body as { apply?: Change[]; guards?: { path: string }[] };
+    if (KINDS[kind]?.(apply, guards) !== true) return undefined;
+    struck += 1;
+    return fate(request);
+  });
+  return () => struck;
+}
+
+/** Asks for a job at every node within milliseconds; once it is over, no node says anything else. */
+async function look(world: World, ids: string[], over: Map<string, string>): Promise<void> {
+  for (const id of ids) {
+    for (const index of [0, 1, 2]) {
+      if (world.controllers[index]?.alive !== true) continue;
+      const standing = await world.standing(id, index);
+      if (typeof standing === 'number') {
+        assert.notEqual(standing, 404, `${id} at node ${index}`);
+        continue;
+      }
+      const final = over.get(id);
+      if (final !== undefined) assert.equal(standing, final, `${id} at node ${index}`);
+      else if (standing === 'done' || standing === 'withdrawn') over.set(id, standing);
+    }
+  }
+}
+
+/** As users do: who gets no answer comes again, at another node. */
+async function again<T>(world: World, ask: (index: number) => Promise<T>, first: number): Promise<T> {
+  for (let attempt = 0; ; attempt += 1) {
+    const index = (first + attempt) % 3;
+    try {
+      if (world.controllers[index]?.alive === true) return await ask(index);
+    } catch (error) {
+      if (!(error instanceof NoAnswer) || attempt > 12) throw error;
+    }
+  }
+}
+
+/** A short day that brings about every kind of transaction. */
+async function day(world: World): Promise<void> {
+  const over = new Map<string, string>();
+  const ids = ['req-1', 'req-2', 'req-3'];
+  const submit = (id: string, fields: Record<string, unknown>, runS: number, first: number): Promise<void> =>
+    again(world, (index) => world.submit(id, fields, runS, index), first);
+  await submit('req-1', {}, 5, 0);
+  await submit('req-2', { pieces: 14 }, 6, 1);
+  await submit('req-3', { pieces: 60 }, 4, 2);
+  await world.until('req-3 runs', () => world.running.some((p) => p.startsWith('req-3/')), 60);
+  // A command whose answer is lost puts a start in doubt; then nobody hears the others, and some keep.
+  let lost = 0;
+  const heal = world.network.rule(({ path }) => {
+    if (path !== '/do' || lost > 0) return undefined;
+    lost += 1;
+    return 'lose answer';
+  });
+  // And a machine hangs for longer than its lease.
+  const hung = world.worker(world.where(world.running[0] ?? '') ?? '');
+  hung.hanging = true;
+  world.clock.after(45_000, () => {
+    hung.hanging = false;
+  });
+  world.silencePeers = true;
+  await world.clock.advance(6_000);
+  over.set('req-3', await again(world, (index) => world.cancel('req-3', index), 1));
+  await look(world, ids, over);
+  world.silencePeers = false;
+  await world.clock.advance(4_000);
+  await look(world, ids, over);
+  heal();
+  const { owner } = world;
+  if (owner >= 0) {
+    world.kill(owner);
+    await world.clock.advance(6_000);
+    if (world.controllers[owner]?.alive === false) world.restart(owner);
+  }
+  await submit('req-4', { pieces: 3 }, 4, 1);
+  ids.push('req-4');
+  for (let second = 0; second < 60 && over.size < 4; second += 2) {
+    await look(world, ids, over);
+    await world.clock.advance(2_000);
+  }
+  // Idle machines are returned, and what was held up arrives.
+  await world.clock.advance(50_000);
+  await look(world, ids, over);
+  assert.deepEqual(Object.fromEntries(over), {
+    ...{ 'req-1': 'done', 'req-2': 'done', 'req-3': 'withdrawn', 'req-4': 'done' },
+  });
+  world.noRuleBroken();
+}
+
+/** Nothing is left that no one would ever take away. */
+function nothingLeft(world: World): void {
+  const live = [...world.state.data.keys()].filter((key) => key.startsWith('live/'));
+  const left = live.filter((key) => /^live\/(job|done|keep)\//.test(key));
+  assert.deepEqual(left, []);
+  for (const key of live) {
+    const machine = /^live\/machine\/(.*)$/.exec(key)?.[1];
+    if (machine !== undefined) assert.equal(world.worker(machine).gone, false, `${key} is recorded`);
+  }
+  const lease = world.state.data.get('live/lease/0')?.data as { owner: string } | undefined;
+  assert.equal(lease?.owner, `node-${world.owner}`);
+}
+
+for (const kind of Object.keys(KINDS)) {
+  test(`${kind}: carried out and never answered`, async () => {
+    const world = deployment(kind);
+    const struck = strike(world, kind, 2, () => 'lose answer');
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    nothingLeft(world);
+  });
+
+  test(`${kind}: carried out 12 s late, after newer ones`, async () => {
+    const world = deployment(kind);
+    const struck = strike(world, kind, 2, () => {
+      world.clock.after(LATE_MS, () => world.network.release());
+      return 'hold';
+    });
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    // It may have been the last thing of the day.
+    await world.clock.advance(20_000);
+    nothingLeft(world);
+  });
+
+  test(`${kind}: carried out after its sender ended and began again`, async () => {
+    const world = deployment(kind);
+    const struck = strike(world, kind, 1, ({ from }) => {
+      const index = Number(from.slice('node-'.length));
+      world.clock.after(5, () => {
+        if (world.controllers[index]?.alive === true) world.kill(index);
+      });
+      world.clock.after(2_000, () => {
+        if (world.controllers[index]?.alive === false) world.restart(index);
+      });
+      world.clock.after(LATE_MS, () => world.network.release());
+      return 'hold';
+    });
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    // It may have been the last thing of the day.
+    await world.clock.advance(20_000);
+    nothingLeft(world);
+  });
+}
