A block's lease that lies here with no tables behind it is let go, whoever the block is given to

A taking that was carried out and never answered, or a raise of the token that hid the lease's version from a node that was to give the block up, left the lease with a living node that no longer was the block's: the one it was given to waited for it for as long as that session lived.

--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -307,15 +307,17 @@
     }
     if (!cache.loaded || !session.valid || session.lease === undefined || this.#types.length === 0) return;
     for (let block = 0; block < blockCount(cache, settings); block += 1) {
-      const record = read.block(cache.get(KEY.block(block))?.value);
-      if (record?.owner !== node || this.#owners.has(block)) continue;
+      if (this.#owners.has(block)) continue;
       const held = cache.get(KEY.lease(block));
       if (held && read.lease(held.value)?.owner === node) {
-        // A taking of ours that got no answer was carried out after all. Its tables were never built: start over.
+        // A taking of ours that got no answer was carried out after all, or we stopped while a raise of ours that got
+        // none hid the lease's version. No tables are behind it: start over. Whoever the block is given to now would
+        // wait for it as long as our session lives.
         await store.txn([{ key: held.key, version: held.version }], [{ delete: held.key }], true);
         continue;
       }
-      if (held || !this.#mayTake(record)) continue;
+      const record = read.block(cache.get(KEY.block(block))?.value);
+      if (record?.owner !== node || held || !this.#mayTake(record)) continue;
       const next = (read.baton(cache.get(KEY.baton)?.value)?.next ?? 0) + 1;
       const value = { owner: node, token: next };
       const result = await store.txn(
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -199,3 +199,27 @@
     nothingLeft(world);
   });
 }
+
+test('a block taken without an answer, and given to another node meanwhile, is let go of', async () => {
+  const world = new World();
+  let taker: string | undefined;
+  world.network.rule((request) => {
+    if (request.path !== '/txn' || taker !== undefined) return undefined;
+    const { apply = [] } = request.body as { apply?: Change[] };
+    if (KINDS['taking of a block']?.(apply, []) !== true) return undefined;
+    taker = request.from;
+    // By the time the watch tells the taker that it was carried out, the leader has given the block to another.
+    world.clock.after(20, () => {
+      const record = world.state.data.get('live/block/0')?.data as Record<string, unknown>;
+      const other = [0, 1, 2].map((index) => `node-${index}`).find((node) => node !== taker);
+      const body = { guards: [], apply: [{ set: 'live/block/0', data: { ...record, owner: other } }] };
+      void world.network.caller('story').call('10.2.0.1:2379', 'POST', '/txn', body, 1000);
+    });
+    return 'lose answer';
+  });
+  await world.clock.advance(10_000);
+  assert.ok(taker !== undefined);
+  assert.ok(world.owner >= 0, 'nobody acts for the block');
+  const record = world.state.data.get('live/block/0')?.data as { owner: string };
+  assert.equal(record.owner, `node-${world.owner}`);
+});
