--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -51,6 +51,7 @@
 
 const revision = z.int().min(0);
 const entrySchema = z.object({ path: z.string(), data: z.unknown(), stamp: revision });
+const missing = z.object({ ledger: revision });
 const listSchema = z.object({ entries: z.array(entrySchema), hasNext: z.boolean(), ledger: revision });
 const txnOk = z.object({ ledger: revision });
 const txnFailed = z.object({ failed: z.array(z.string()), ledger: revision });
@@ -91,7 +92,11 @@
   async get(key: string): Promise<Entry | null> {
     await this.requests.take(1, PATIENCE_MS);
     const answer = await this.#call('GET', `/store/${key}`, undefined);
-    if (answer.status === 404) return null;
+    if (answer.status === 404) {
+      // Only the state service's own word proves that a key does not exist: a job would be called unknown for less.
+      this.#parse({ status: 200, body: answer.body }, missing);
+      return null;
+    }
     const entry = this.#parse(answer, entrySchema);
     return { key: entry.path, value: entry.data, version: entry.stamp };
   }
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -49,6 +49,8 @@
   sick = false;
   isUp = false;
   gone = false;
+  /** What it answers to commands and questions instead of executing them. */
+  garbage: (() => Answer) | undefined;
   #hanging = false;
   #hungAt = 0;
   /** How long it has stood still before the hang that lasts, if one does. */
@@ -215,6 +217,7 @@
   }
 
   #handle(request: Request): Answer | Promise<Answer> {
+    if (this.garbage) return this.garbage();
     if (!this.#hanging) return this.#answer(request);
     return new Promise((resolve) => {
       this.#onResume.push(() => {
