--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -65,11 +65,13 @@
   /** How long tasks really run, where that is not what their user reckons. */
   readonly #runS = new Map<string, number>();
   readonly #machineFacts = new Map<string, MachineFacts>();
-  readonly #options: { limitCpus?: number; operator?: Record<string, unknown> };
+  readonly #options: { limitCpus?: number; operator?: Record<string, unknown>; writeRps?: number };
   #names = 0;
   #machines = 0;
 
-  constructor(options: { limitCpus?: number; operator?: Record<string, unknown>; cpu?: number } = {}) {
+  constructor(
+    options: { limitCpus?: number; operator?: Record<string, unknown>; cpu?: number; writeRps?: number } = {},
+  ) {
     this.#options = options;
     this.cpu = options.cpu ?? this.cpu;
     this.rules = new Rules(this.clock, {
@@ -112,7 +114,7 @@
             { name: 'blue', cpus: 8 },
           ],
           workers: { report_s: 0.8, lease_s: LEASE_S, cancel_s: CANCEL_S },
-          state: { rps: 200, write_rps: 100, value_kb: 16, txn_ops: 32 },
+          state: { rps: 200, write_rps: this.#options.writeRps ?? 100, value_kb: 16, txn_ops: 32 },
           cloud: { rps: 5, list_lag_s: 2 },
           quota: { cpu: this.cpu },
         },
