A leader's writes name its own leadership, and a machine whose record is gone isn't recorded as up

Between two writes of one step the guard was taken from whatever record lay in the view, another leader's or none. And a record of a machine that was returned while it waited for its turn was guarded on its absence, and came back as up. Both stories failed before the changes.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,5 +1,6 @@
 import { blockCount } from '../bookkeeping/block-count';
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
+import type { Guard } from '../protocol/state';
 import type { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 
@@ -97,8 +98,18 @@
     }
   }
 
+  /**
+   * The guard that proves, inside a transaction, that this node still leads; undefined when it knows that it doesn't.
+   * Between two writes of one step another may have become the leader, and its record's version would prove nothing.
+   */
+  #leadership(): Guard | undefined {
+    return this.isLeader ? { key: KEY.leader, version: this.deps.cache.version(KEY.leader) } : undefined;
+  }
+
   async #give(block: number, owner: string): Promise<boolean> {
     const { cache, store, settings, log } = this.deps;
+    const leadership = this.#leadership();
+    if (!leadership) return false;
     const { teams } = settings.platform.deployment;
     const blocks = blockCount(cache, settings);
     const key = KEY.block(block);
@@ -109,10 +120,7 @@
       teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
     };
     const result = await store.txn(
-      [
-        { key, version: cache.version(key) },
-        { key: KEY.leader, version: cache.version(KEY.leader) },
-      ],
+      [{ key, version: cache.version(key) }, leadership],
       [{ put: key, value }],
       true,
     );
@@ -130,7 +138,8 @@
       .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
       .filter((m) => !this.cloud.isGone(m.id))
       .slice(0, STRAYS_AT_ONCE);
-    if (strays.length === 0) return;
+    const leadership = this.#leadership();
+    if (strays.length === 0 || !leadership) return;
     const machinesOf = new Map<number, number>();
     for (let block = 0; block < blockCount(cache, settings); block += 1) machinesOf.set(block, 0);
     for (const entry of cache.under(PREFIX.machine)) {
@@ -147,10 +156,7 @@
       },
     }));
     const guards = changes.map((c) => ({ key: c.put, version: 0 }));
-    const result = await store.txn(
-      [{ key: KEY.leader, version: cache.version(KEY.leader) }, ...guards],
-      changes,
-    );
+    const result = await store.txn([leadership, ...guards], changes);
     if (!result.ok) return;
     log.info({ block, machines: strays.map((m) => m.id) }, 'strays taken in');
     for (const c of changes) {
--- a/src/coordination/up-records.ts
+++ b/src/coordination/up-records.ts
@@ -54,9 +54,12 @@
   }
 
   /** Returns those that are recorded. */
-  async #write(batch: readonly Waiting[]): Promise<readonly Waiting[]> {
+  async #write(asked: readonly Waiting[]): Promise<readonly Waiting[]> {
     try {
       const { cache, store, clock, log } = this.deps;
+      // One that was returned while it waited has no record any more; a guard on its absence would bring it back, as up.
+      const batch = asked.filter(({ machine }) => cache.version(KEY.machine(machine.id)) > 0);
+      if (batch.length === 0) return [];
       const guards = [this.block.leaseGuard()];
       const changes = batch.map(({ machine, address }) => {
         const key = KEY.machine(machine.id);
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Block } from '../src/coordination/block';
+import type { Deps } from '../src/coordination/deps';
+import type { Machine } from '../src/coordination/machine';
+import { UpRecords } from '../src/coordination/up-records';
+import { NoAnswer } from '../src/transport/http-client';
+import { FakeClock } from './fakes/clock';
 import type { Fate, Request } from './fakes/network';
 import { World } from './fakes/world';
-import { NoAnswer } from '../src/transport/http-client';
 
 type Change = { set?: string; delete?: string; data?: unknown };
 
@@ -223,3 +228,52 @@
   const record = world.state.data.get('live/block/0')?.data as { owner: string };
   assert.equal(record.owner, `node-${world.owner}`);
 });
+
+test('one that no longer leads assigns nothing under the leadership of another', async () => {
+  const world = new World({ operator: { blocks: 3 } });
+  let first: string | undefined;
+  let replaced = false;
+  const later: string[] = [];
+  world.state.rule((request) => {
+    if (request.path !== '/txn') return undefined;
+    const { apply = [], guards = [] } = request.body as { apply?: Change[]; guards?: { path: string }[] };
+    if (KINDS['assignment of a block']?.(apply, guards) !== true) return undefined;
+    if (replaced && request.from === first) later.push(String(apply[0]?.set));
+    if (first !== undefined) return undefined;
+    first = request.from;
+    world.clock.after(100, () => {
+      const node = first === 'node-0' ? 'node-1' : 'node-0';
+      const body = { guards: [], apply: [{ set: 'live/leader', data: { node } }] };
+      void world.network.caller('story').call('10.2.0.1:2379', 'POST', '/txn', body, 1000);
+      replaced = true;
+    });
+    return { slowMs: 1000 };
+  });
+  await world.clock.advance(20_000);
+  assert.ok(replaced);
+  assert.deepEqual(later, []);
+  for (const block of [0, 1, 2]) assert.ok(world.state.data.has(`live/lease/${block}`), `block ${block}`);
+});
+
+test('a machine whose record is gone is not recorded as up', async () => {
+  const clock = new FakeClock();
+  const written: string[] = [];
+  const store = {
+    txn: (_: unknown, changes: { put: string }[]) => {
+      written.push(...changes.map((c) => c.put));
+      return Promise.resolve({ ok: true, revision: 9 });
+    },
+  };
+  const known = { 'live/machine/host-2': 7 } as Record<string, number>;
+  const cache = { version: (key: string) => known[key] ?? 0 };
+  const deps = { cache, store, clock, log: { info: () => undefined } } as unknown as Deps;
+  const block = { leaseGuard: () => ({ key: 'live/lease/0', version: 3 }) } as unknown as Block;
+  const upRecords = new UpRecords(block, deps);
+  const machine = (id: string): Machine =>
+    ({ id, type: { name: 'm4' }, record: { block: 0, up: false } }) as unknown as Machine;
+  // The first was returned, and its record deleted, between its report and its turn to be written.
+  const answers = Promise.all(['host-1', 'host-2'].map((id) => upRecords.record(machine(id), '10.1.0.1:1')));
+  await clock.advance(100);
+  assert.deepEqual(await answers, [false, true]);
+  assert.deepEqual(written, ['live/machine/host-2']);
+});
