--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,12 +1,17 @@
 import { blockCount } from '../bookkeeping/block-count';
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
+import type { Guard } from '../protocol/state';
 import type { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 
 const STRAY_AGE_S = 5;
 const STRAYS_AT_ONCE = 10;
+const SWEPT_AT_ONCE = 8;
 
-/** The leader leases blocks to live nodes, and takes machines that no record names into a block. It does no more. */
+/**
+ * The leader leases blocks to live nodes, takes machines that no record names into a block, and deletes completions of
+ * jobs that are over. It does no more.
+ */
 export class Leader {
   constructor(
     private readonly deps: Deps,
@@ -38,6 +43,7 @@
     if (!this.isLeader) return;
     await this.#assign();
     await this.#takeStrays();
+    await this.#sweep();
   }
 
   async #assign(): Promise<void> {
@@ -92,8 +98,18 @@
     }
   }
 
+  /**
+   * The guard that proves, inside a transaction, that this node still leads; undefined when it knows that it doesn't.
+   * Between two writes of one step another may have become the leader, and its record's version would prove nothing.
+   */
+  #leadership(): Guard | undefined {
+    return this.isLeader ? { key: KEY.leader, version: this.deps.cache.version(KEY.leader) } : undefined;
+  }
+
   async #give(block: number, owner: string): Promise<boolean> {
     const { cache, store, settings, log } = this.deps;
+    const leadership = this.#leadership();
+    if (!leadership) return false;
     const { teams } = settings.platform.deployment;
     const blocks = blockCount(cache, settings);
     const key = KEY.block(block);
@@ -104,10 +120,7 @@
       teams: teams.filter((_, index) => index % blocks === block).map((t) => t.name),
     };
     const result = await store.txn(
-      [
-        { key, version: cache.version(key) },
-        { key: KEY.leader, version: cache.version(KEY.leader) },
-      ],
+      [{ key, version: cache.version(key) }, leadership],
       [{ put: key, value }],
       true,
     );
@@ -125,7 +138,8 @@
       .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
       .filter((m) => !this.cloud.isGone(m.id))
       .slice(0, STRAYS_AT_ONCE);
-    if (strays.length === 0) return;
+    const leadership = this.#leadership();
+    if (strays.length === 0 || !leadership) return;
     const machinesOf = new Map<number, number>();
     for (let block = 0; block < blockCount(cache, settings); block += 1) machinesOf.set(block, 0);
     for (const entry of cache.under(PREFIX.machine)) {
@@ -142,14 +156,33 @@
       },
     }));
     const guards = changes.map((c) => ({ key: c.put, version: 0 }));
-    const result = await store.txn(
-      [{ key: KEY.leader, version: cache.version(KEY.leader) }, ...guards],
-      changes,
-    );
+    const result = await store.txn([leadership, ...guards], changes);
     if (!result.ok) return;
     log.info({ block, machines: strays.map((m) => m.id) }, 'strays taken in');
     for (const c of changes) {
       this.deps.announce({ key: c.put, version: result.revision, value: c.value, deleted: false });
     }
   }
+
+  /**
+   * A cancellation leaves the job's completions behind, and so does an end whose writer never learnt that an earlier
+   * write of them was carried out: with no job left, no one else would ever delete them. That the job is over is
+   * proved inside the transaction; a job that is over never comes back.
+   */
+  async #sweep(): Promise<void> {
+    const { cache, store } = this.deps;
+    const orphans: { key: string; version: number; job: string }[] = [];
+    for (const { key, version } of cache.under(PREFIX.done)) {
+      const job = KEY.job(key.slice(PREFIX.done.length, key.lastIndexOf('/')));
+      if (!cache.get(job) && orphans.push({ key, version, job }) === SWEPT_AT_ONCE) break;
+    }
+    if (orphans.length === 0) return;
+    await store.txn(
+      orphans.flatMap(({ key, version, job }) => [
+        { key, version },
+        { key: job, version: 0 },
+      ]),
+      orphans.map(({ key }) => ({ delete: key })),
+    );
+  }
 }
--- /dev/null
+++ b/test/transactions.test.ts
@@ -0,0 +1,327 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Block } from '../src/coordination/block';
+import type { Deps } from '../src/coordination/deps';
+import type { Machine } from '../src/coordination/machine';
+import { UpRecords } from '../src/coordination/up-records';
+import { NoAnswer } from '../src/transport/http-client';
+import { FakeClock } from './fakes/clock';
+import type { Fate, Request } from './fakes/network';
+import { World } from './fakes/world';
+
+type Change = { set?: string; delete?: string; data?: unknown };
+
+const LATE_MS = 12_000;
+
+const sets = (apply: Change[], prefix: string): Change[] =>
+  apply.filter((c) => c.set?.startsWith(prefix) === true);
+const deletes = (apply: Change[], prefix: string): boolean =>
+  apply.some((c) => c.delete?.startsWith(prefix) === true);
+const has = (apply: Change[], prefix: string, field: string, value: unknown): boolean =>
+  sets(apply, prefix).some((c) => (c.data as Record<string, unknown>)[field] === value);
+
+/** Every kind of transaction that a controller sends, told by what it changes. */
+const KINDS: Record<string, (apply: Change[], guards: { path: string }[]) => boolean> = {
+  'acceptance of a job': (apply) => sets(apply, 'live/job/').length > 0,
+  cancellation: (apply) => has(apply, 'final/', 'state', 'cancelled'),
+  'end of a job': (apply) => has(apply, 'final/', 'state', 'done'),
+  'completions so far': (apply) => sets(apply, 'live/done/').length > 0,
+  'taking of a block': (apply) =>
+    sets(apply, 'live/baton').length > 0 && sets(apply, 'live/block/').length > 0,
+  'raise of the token': (apply) =>
+    sets(apply, 'live/baton').length > 0 && sets(apply, 'live/block/').length === 0,
+  'assignment of a block': (apply) =>
+    sets(apply, 'live/block/').length > 0 && sets(apply, 'live/baton').length === 0,
+  'record of a rental': (apply) => has(apply, 'live/machine/', 'up', false),
+  'record that a machine is up': (apply) => has(apply, 'live/machine/', 'up', true),
+  'deletion of machine records': (apply) => deletes(apply, 'live/machine/'),
+  'record that a node keeps': (apply) => sets(apply, 'live/keep/').length > 0,
+  'end of keeping': (apply) => deletes(apply, 'live/keep/'),
+  'proof that nobody keeps': (apply, guards) =>
+    apply.length === 0 && guards.some((g) => g.path.startsWith('live/keep/')),
+  'leader record': (apply) => sets(apply, 'live/leader').length > 0,
+  'node record': (apply) => sets(apply, 'live/node/').length > 0,
+  'machine types': (apply) => sets(apply, 'live/types').length > 0,
+};
+
+/** What no transaction may do to a record, whenever it is carried out; the text says what was wrong. */
+function wrong(world: World, key: string, before: unknown, after: unknown): string | undefined {
+  type Fields = Record<string, unknown>;
+  const [old, now] = [before as Fields | undefined, after as Fields | undefined];
+  const kind = key.split('/').slice(0, 2).join('/');
+  if (key.startsWith('final/')) return old ? 'a final state is for ever' : undefined;
+  if (kind === 'live/baton')
+    return old && Number(now?.next) <= Number(old.next) ? 'a token came again' : undefined;
+  if (kind === 'live/lease')
+    return old && now && old.owner !== now.owner ? 'taken from its owner' : undefined;
+  if (kind === 'live/leader' || kind === 'live/node') return old && now ? 'it was there' : undefined;
+  if (kind === 'live/block') return old?.holder && !now?.holder ? 'its holder is forgotten' : undefined;
+  if (kind === 'live/machine') return old?.up === true && now?.up === false ? 'up, and then not' : undefined;
+  const id = key.split('/')[2] ?? '';
+  if (kind === 'live/job' && now)
+    return old || world.state.data.has(`final/${id}`) ? 'it began anew' : undefined;
+  if (kind !== 'live/done' || !now) return undefined;
+  if (!world.state.data.has(`live/job/${id}`)) return 'completions of a job that is over';
+  const [had, has] = [old, now].map((r) => Buffer.from(String(r?.bits ?? ''), 'base64'));
+  return had?.some((byte, n) => (byte & ~(has?.[n] ?? 0)) !== 0) ? 'completions were lost' : undefined;
+}
+
+/** Judges every transaction by what it does to the records. */
+function judge(world: World): string[] {
+  const faults: string[] = [];
+  world.network.attach('10.2.0.1:2379', (request) => {
+    if (request.path !== '/txn') return world.state.handle(request);
+    const { apply = [] } = request.body as { apply?: Change[] };
+    const before = apply.map((c) => world.state.data.get(c.set ?? c.delete ?? '')?.data);
+    const { ledger } = world.state;
+    const answer = world.state.handle(request);
+    if (world.state.ledger === ledger) return answer;
+    for (const [n, { set, delete: gone, data }] of apply.entries()) {
+      const why =
+        set === undefined && before[n] === undefined
+          ? undefined
+          : wrong(world, set ?? gone ?? '', before[n], data);
+      if (why !== undefined) faults.push(`${set ?? gone} by ${request.from}: ${why}`);
+    }
+    return answer;
+  });
+  return faults;
+}
+
+function deployment(kind: string): { world: World; faults: string[] } {
+  const world = new World();
+  const faults = judge(world);
+  world.capacity = 4;
+  if (kind === 'proof that nobody keeps') {
+    // It is needed only where returning a silent machine proves nothing.
+    const heal = world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    world.clock.after(70_000, heal);
+  }
+  return { world, faults };
+}
+
+/** Does to the first transactions of a kind what a story is about; counts them. */
+function strike(world: World, kind: string, times: number, fate: (request: Request) => Fate): () => number {
+  let struck = 0;
+  world.network.rule((request) => {
+    if (request.path !== '/txn' || struck >= times) return undefined;
+    const { apply = [], guards = [] } = request.body as { apply?: Change[]; guards?: { path: string }[] };
+    if (KINDS[kind]?.(apply, guards) !== true) return undefined;
+    struck += 1;
+    return fate(request);
+  });
+  return () => struck;
+}
+
+/** Asks for a job at every node within milliseconds; once it is over, no node says anything else. */
+async function look(world: World, ids: string[], over: Map<string, string>): Promise<void> {
+  for (const id of ids) {
+    for (const index of [0, 1, 2]) {
+      if (world.controllers[index]?.alive !== true) continue;
+      const standing = await world.standing(id, index);
+      if (typeof standing === 'number') {
+        assert.notEqual(standing, 404, `${id} at node ${index}`);
+        continue;
+      }
+      const final = over.get(id);
+      if (final !== undefined) assert.equal(standing, final, `${id} at node ${index}`);
+      else if (standing === 'done' || standing === 'withdrawn') over.set(id, standing);
+    }
+  }
+}
+
+/** As users do: who gets no answer comes again, at another node. */
+async function again<T>(world: World, ask: (index: number) => Promise<T>, first: number): Promise<T> {
+  for (let attempt = 0; ; attempt += 1) {
+    const index = (first + attempt) % 3;
+    try {
+      if (world.controllers[index]?.alive === true) return await ask(index);
+    } catch (error) {
+      if (!(error instanceof NoAnswer) || attempt > 12) throw error;
+    }
+  }
+}
+
+/** A short day that brings about every kind of transaction. */
+async function day(world: World): Promise<void> {
+  const over = new Map<string, string>();
+  const ids = ['req-1', 'req-2', 'req-3'];
+  const submit = (id: string, fields: Record<string, unknown>, runS: number, first: number): Promise<void> =>
+    again(world, (index) => world.submit(id, fields, runS, index), first);
+  await submit('req-1', {}, 5, 0);
+  await submit('req-2', { pieces: 14 }, 6, 1);
+  await submit('req-3', { pieces: 60 }, 4, 2);
+  await world.until('req-3 runs', () => world.running.some((p) => p.startsWith('req-3/')), 60);
+  // A command whose answer is lost puts a start in doubt; then nobody hears the others, and some keep.
+  let lost = 0;
+  const heal = world.network.rule(({ path }) => {
+    if (path !== '/do' || lost > 0) return undefined;
+    lost += 1;
+    return 'lose answer';
+  });
+  // And a machine hangs for longer than its lease.
+  const hung = world.worker(world.where(world.running[0] ?? '') ?? '');
+  hung.hanging = true;
+  world.clock.after(45_000, () => {
+    hung.hanging = false;
+  });
+  world.silencePeers = true;
+  await world.clock.advance(6_000);
+  over.set('req-3', await again(world, (index) => world.cancel('req-3', index), 1));
+  await look(world, ids, over);
+  world.silencePeers = false;
+  await world.clock.advance(4_000);
+  await look(world, ids, over);
+  heal();
+  const { owner } = world;
+  if (owner >= 0) {
+    world.kill(owner);
+    await world.clock.advance(6_000);
+    if (world.controllers[owner]?.alive === false) world.restart(owner);
+  }
+  await submit('req-4', { pieces: 3 }, 4, 1);
+  ids.push('req-4');
+  for (let second = 0; second < 60 && over.size < 4; second += 2) {
+    await look(world, ids, over);
+    await world.clock.advance(2_000);
+  }
+  // Idle machines are returned, and what was held up arrives.
+  await world.clock.advance(50_000);
+  await look(world, ids, over);
+  assert.deepEqual(Object.fromEntries(over), {
+    ...{ 'req-1': 'done', 'req-2': 'done', 'req-3': 'withdrawn', 'req-4': 'done' },
+  });
+  world.noRuleBroken();
+}
+
+/** Nothing is left that no one would ever take away. */
+function nothingLeft(world: World): void {
+  const live = [...world.state.data.keys()].filter((key) => key.startsWith('live/'));
+  const left = live.filter((key) => /^live\/(job|done|keep)\//.test(key));
+  assert.deepEqual(left, []);
+  for (const key of live) {
+    const machine = /^live\/machine\/(.*)$/.exec(key)?.[1];
+    if (machine !== undefined) assert.equal(world.worker(machine).gone, false, `${key} is recorded`);
+  }
+  const lease = world.state.data.get('live/lease/0')?.data as { owner: string } | undefined;
+  assert.equal(lease?.owner, `node-${world.owner}`);
+}
+
+for (const kind of Object.keys(KINDS)) {
+  test(`${kind}: carried out and never answered`, async () => {
+    const { world, faults } = deployment(kind);
+    const struck = strike(world, kind, 2, () => 'lose answer');
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    nothingLeft(world);
+    assert.deepEqual(faults, []);
+  });
+
+  test(`${kind}: carried out 12 s late, after newer ones`, async () => {
+    const { world, faults } = deployment(kind);
+    const struck = strike(world, kind, 2, () => {
+      world.clock.after(LATE_MS, () => world.network.release());
+      return 'hold';
+    });
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    // It may have been the last thing of the day.
+    await world.clock.advance(20_000);
+    nothingLeft(world);
+    assert.deepEqual(faults, []);
+  });
+
+  test(`${kind}: carried out after its sender ended and began again`, async () => {
+    const { world, faults } = deployment(kind);
+    const struck = strike(world, kind, 1, ({ from }) => {
+      const index = Number(from.slice('node-'.length));
+      world.clock.after(5, () => {
+        if (world.controllers[index]?.alive === true) world.kill(index);
+      });
+      world.clock.after(2_000, () => {
+        if (world.controllers[index]?.alive === false) world.restart(index);
+      });
+      world.clock.after(LATE_MS, () => world.network.release());
+      return 'hold';
+    });
+    await day(world);
+    assert.ok(struck() > 0, 'it never came about');
+    // It may have been the last thing of the day.
+    await world.clock.advance(20_000);
+    nothingLeft(world);
+    assert.deepEqual(faults, []);
+  });
+}
+
+test('a block taken without an answer, and given to another node meanwhile, is let go of', async () => {
+  const world = new World();
+  let taker: string | undefined;
+  world.network.rule((request) => {
+    if (request.path !== '/txn' || taker !== undefined) return undefined;
+    const { apply = [] } = request.body as { apply?: Change[] };
+    if (KINDS['taking of a block']?.(apply, []) !== true) return undefined;
+    taker = request.from;
+    // By the time the watch tells the taker that it was carried out, the leader has given the block to another.
+    world.clock.after(20, () => {
+      const record = world.state.data.get('live/block/0')?.data as Record<string, unknown>;
+      const other = [0, 1, 2].map((index) => `node-${index}`).find((node) => node !== taker);
+      const body = { guards: [], apply: [{ set: 'live/block/0', data: { ...record, owner: other } }] };
+      void world.network.caller('story').call('10.2.0.1:2379', 'POST', '/txn', body, 1000);
+    });
+    return 'lose answer';
+  });
+  await world.clock.advance(10_000);
+  assert.ok(taker !== undefined);
+  assert.ok(world.owner >= 0, 'nobody acts for the block');
+  const record = world.state.data.get('live/block/0')?.data as { owner: string };
+  assert.equal(record.owner, `node-${world.owner}`);
+});
+
+test('one that no longer leads assigns nothing under the leadership of another', async () => {
+  const world = new World({ operator: { blocks: 3 } });
+  let first: string | undefined;
+  let replaced = false;
+  const later: string[] = [];
+  world.state.rule((request) => {
+    if (request.path !== '/txn') return undefined;
+    const { apply = [], guards = [] } = request.body as { apply?: Change[]; guards?: { path: string }[] };
+    if (KINDS['assignment of a block']?.(apply, guards) !== true) return undefined;
+    if (replaced && request.from === first) later.push(String(apply[0]?.set));
+    if (first !== undefined) return undefined;
+    first = request.from;
+    world.clock.after(100, () => {
+      const node = first === 'node-0' ? 'node-1' : 'node-0';
+      const body = { guards: [], apply: [{ set: 'live/leader', data: { node } }] };
+      void world.network.caller('story').call('10.2.0.1:2379', 'POST', '/txn', body, 1000);
+      replaced = true;
+    });
+    return { slowMs: 1000 };
+  });
+  await world.clock.advance(20_000);
+  assert.ok(replaced);
+  assert.deepEqual(later, []);
+  for (const block of [0, 1, 2]) assert.ok(world.state.data.has(`live/lease/${block}`), `block ${block}`);
+});
+
+test('a machine whose record is gone is not recorded as up', async () => {
+  const clock = new FakeClock();
+  const written: string[] = [];
+  const store = {
+    txn: (_: unknown, changes: { put: string }[]) => {
+      written.push(...changes.map((c) => c.put));
+      return Promise.resolve({ ok: true, revision: 9 });
+    },
+  };
+  const known = { 'live/machine/host-2': 7 } as Record<string, number>;
+  const cache = { version: (key: string) => known[key] ?? 0 };
+  const deps = { cache, store, clock, log: { info: () => undefined } } as unknown as Deps;
+  const block = { leaseGuard: () => ({ key: 'live/lease/0', version: 3 }) } as unknown as Block;
+  const upRecords = new UpRecords(block, deps);
+  const machine = (id: string): Machine =>
+    ({ id, type: { name: 'm4' }, record: { block: 0, up: false } }) as unknown as Machine;
+  // The first was returned, and its record deleted, between its report and its turn to be written.
+  const answers = Promise.all(['host-1', 'host-2'].map((id) => upRecords.record(machine(id), '10.1.0.1:1')));
+  await clock.advance(100);
+  assert.deepEqual(await answers, [false, true]);
+  assert.deepEqual(written, ['live/machine/host-2']);
+});
