--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -25,6 +25,10 @@
   return world.running.filter((piece) => piece.startsWith(`${job}/`));
 }
 
+function places(world: World): string[] {
+  return world.running.map((piece) => `${piece} ${world.where(piece)}`).sort();
+}
+
 function starts(world: World): number {
   return [...world.workers.values()].flatMap((w) => w.startOrders).length;
 }
@@ -284,3 +288,54 @@
   assert.equal(starts(world), 6);
   world.noRuleBroken();
 });
+
+/** Says again what a worker once said, to every controller; nobody waits for the answer. */
+function sayAgain(world: World, reports: readonly Record<string, unknown>[]): void {
+  for (const { address, alive } of world.controllers) {
+    if (!alive) continue;
+    for (const report of reports)
+      void world.network
+        .caller('late')
+        .call(address, 'POST', '/hello', report, 4000)
+        .catch(() => undefined);
+  }
+}
+
+test('old reports reach every controller just as a new leader begins, and again after each second', async () => {
+  const world = new World();
+  for (let n = 0; n < 2; n += 1) world.addWorker('b');
+  await world.clock.advance(12_000);
+  const copies: Record<string, unknown>[] = [];
+  const end = world.network.rule(({ path, body, from }) => {
+    if (path === '/hello' && from.startsWith('host-')) copies.push(body as Record<string, unknown>);
+    return undefined;
+  });
+  // An attempt that is stopped for an urgent one and goes on elsewhere, and sessions that end.
+  await world.submit('req-1', { pieces: 8, bookmarkS: 5, stashS: 1, reckonS: 90 }, 90);
+  await world.until('8 tasks run', () => world.running.length === 8);
+  await world.clock.advance(2000);
+  const moved = world.worker(world.where('req-1/0') ?? '');
+  const heal = cut(world, moved);
+  const keepIt = world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  await world.until('its session ends', () => moved.shift === 2, 20);
+  heal();
+  keepIt();
+  await world.until('8 tasks run again', () => world.running.length === 8, 60);
+  await world.clock.advance(3000);
+  end();
+  const before = places(world);
+  const began = starts(world);
+  world.kill(world.owner);
+  // The last one first, each on its own, so that rounds come between; all of them arrive more than once.
+  copies.reverse();
+  for (let step = 0; step < 1000; step += 1) {
+    const copy = copies[step % copies.length];
+    if (copy) sayAgain(world, [copy]);
+    await world.clock.advance(20);
+    assert.deepEqual(places(world), before);
+  }
+  const owner = await world.untilOwned();
+  assert.equal(starts(world), began);
+  await world.untilStanding('req-1', 'done', 120, owner);
+  world.noRuleBroken();
+});
