Rent for an array that stays together, or apart, only where its tasks may go

The plan now counts the zones of each job's tasks, of those that it plans for too. Its caller still has to hand over where they are; without that only what is planned at once is kept together.

--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,5 +1,5 @@
 import { takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
-import { fits, mayUse } from './placement';
+import { fits, mayUse, zoneAllows } from './placement';
 
 export interface FleetMachine {
   readonly id: string;
@@ -29,6 +29,8 @@
   readonly urgent: boolean;
   /** How long its tasks can still wait and be in time. */
   readonly slackMs: number;
+  /** How many of the job's tasks are, or may be, in each zone. */
+  readonly zones?: ReadonlyMap<string, number>;
 }
 
 export interface FleetInput {
@@ -86,24 +88,26 @@
       isNew: false,
     }));
   let freeing = input.freeingCpus;
-  for (const { job, count, urgent, slackMs } of input.unplaced) {
+  for (const { job, count, urgent, slackMs, zones: taken } of input.unplaced) {
     let left = count;
+    // A machine in a zone where its other tasks keep it from going is of no use to it, however many are rented.
+    const zones = new Map(taken);
     if (!urgent) {
       const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
       left -= absorbed;
       freeing -= absorbed * job.cpus;
     }
-    // Room only shrinks: a machine that had none for the last task of a job has none for its next.
+    // Room only shrinks, and zones only fill: a machine that had none for the last task of a job has none for its next.
     let at = 0;
     while (left > 0) {
       while (at < bins.length) {
         const b = bins[at];
-        if (b && mayUse(job, b.option) && fits(job, b.room)) break;
+        if (b && mayUse(job, b.option) && zoneAllows(job, zones, b.option.zone) && fits(job, b.room)) break;
         at += 1;
       }
       let bin = bins[at];
       if (!bin) {
-        const option = cheapest(job, left, slackMs, options, input.refused, perZone);
+        const option = cheapest({ job, tasks: left, slackMs, zones }, options, input.refused, perZone);
         if (!option) break;
         perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
         const { cpus, gpus, memoryGb } = option.type;
@@ -111,6 +115,7 @@
         bins.push(bin);
       }
       takeFrom(bin.room, job);
+      zones.set(bin.option.zone, (zones.get(bin.option.zone) ?? 0) + 1);
       left -= 1;
     }
   }
@@ -126,18 +131,17 @@
 }
 
 function cheapest(
-  job: Job,
-  tasks: number,
-  slackMs: number,
+  work: { job: Job; tasks: number; slackMs: number; zones: ReadonlyMap<string, number> },
   options: readonly RentOption[],
   refused: (option: RentOption) => boolean,
   perZone: ReadonlyMap<string, number>,
 ): RentOption | undefined {
+  const { job, tasks, slackMs, zones } = work;
   let best: RentOption | undefined;
   let bestCost = Infinity;
   for (const option of options) {
     const fit = capacity(option.type, job);
-    if (fit < 1 || !mayUse(job, option) || refused(option)) continue;
+    if (fit < 1 || !mayUse(job, option) || !zoneAllows(job, zones, option.zone) || refused(option)) continue;
     // Ordinary machines cost a multiple: work that can wait for spot ones to come free does.
     if (!option.spot && job.spot && slackMs > option.type.bootS * 1000 * PATIENCE_IN_BOOTS) continue;
     const price = option.spot ? option.type.spotPrice : option.type.price;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { planFleet, type FleetInput } from '../src/coordination/fleet';
+import type { Job } from '../src/protocol/model';
 import { CANCEL_S, World } from './fakes/world';
 
 /**
@@ -21,6 +23,10 @@
   return world.running.map((piece) => `${piece} ${world.where(piece)}`).sort();
 }
 
+function zoneOf(world: World, machine: string): unknown {
+  return world.worker(machine).report().yard;
+}
+
 function starts(world: World): number {
   return [...world.workers.values()].flatMap((w) => w.startOrders).length;
 }
@@ -550,3 +556,105 @@
   assert.deepEqual(world.rules.unfinished, []);
   world.noRuleBroken();
 });
+
+for (const [what, fields] of [
+  ['bound to one zone', { yard: 'a' }],
+  ['all together', { together: true }],
+  ['apart', { apart: true }],
+  ['bound to one zone, in another team, all together', { yard: 'b', together: true, crew: 'red' }],
+] as const) {
+  for (const all of [false, true]) {
+    test(`a job ${what} loses ${all ? 'every' : 'one'} machine of a zone, and its leader: it is done, in its place`, async () => {
+      const world = new World();
+      world.capacity = 12;
+      await world.submit('req-1', { pieces: 12, reckonS: 60, ...fields }, 60);
+      // Others fill what it leaves.
+      await world.submit('req-2', { pieces: 6, reckonS: 60 }, 60);
+      await world.until('18 tasks run', () => world.running.length === 18);
+      await world.clock.advance(2000);
+      const used = [...new Set(tasksOf(world, 'req-1').map((piece) => world.where(piece) ?? ''))];
+      assert.ok(used.length > 1);
+      const zone = zoneOf(world, used[0] ?? '');
+      for (const id of all ? used.filter((id) => zoneOf(world, id) === zone) : used.slice(0, 1))
+        world.worker(id).vanish();
+      const owner = await change(world);
+      await world.untilStanding('req-1', 'done', 200, owner);
+      await world.noJobWaits(150);
+      assert.deepEqual(world.rules.unfinished, []);
+      world.noRuleBroken();
+    });
+  }
+}
+
+for (const [what, trouble] of [
+  ['reach no controller', 'mute'],
+  ['hear nothing', 'deaf'],
+  ['are cut off', 'cut'],
+  ['hang', 'hang'],
+] as const) {
+  for (const takeover of [false, true]) {
+    test(`all machines ${what} for longer than their leases${takeover ? ', and the leader ends' : ''}: then each is used again`, async () => {
+      const world = new World();
+      world.capacity = 4;
+      await world.submit('req-1', { pieces: 12, reckonS: 200 }, 200);
+      await world.until('12 tasks run', () => world.running.length === 12);
+      await world.clock.advance(2000);
+      const begin = (id: string): (() => void) => {
+        if (trouble === 'mute') return world.silence(id);
+        if (trouble === 'deaf') return world.deafen(id);
+        if (trouble === 'cut') return world.cutOff(id);
+        world.worker(id).hanging = true;
+        return () => {
+          world.worker(id).hanging = false;
+        };
+      };
+      const heals = [...world.workers.keys()].map(begin);
+      await world.submit('req-2', { pieces: 4, reckonS: 20, yard: 'a' }, 20);
+      await world.submit('req-3', { pieces: 4, reckonS: 20, together: true }, 20);
+      await world.clock.advance(takeover ? 10_000 : 45_000);
+      if (takeover) await change(world);
+      await world.clock.advance(takeover ? 35_000 : 0);
+      for (const heal of heals) heal();
+      const healedAt = world.clock.now();
+      await world.until('12 tasks run again', () => world.running.length >= 12, 90);
+      assert.ok(world.clock.now() - healedAt < 40_000, `${world.clock.now() - healedAt} ms`);
+      await world.noJobWaits(300);
+      assert.deepEqual(world.rules.unfinished, []);
+      world.noRuleBroken();
+    });
+  }
+}
+
+test('for an array that has to stay together, or apart, machines are rented where its tasks may go', () => {
+  const type = {
+    ...{ name: 'm4', cpus: 4, gpus: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1, price: 1, spotPrice: 0.3 },
+    ...{ bootS: 10, zones: ['a', 'b'] },
+  };
+  const array: Job = {
+    ...{ id: 'req-1', jobClass: 'batch', team: 'blue', priority: 'normal', tasks: 16, cpus: 1, gpus: 0 },
+    ...{ memoryGb: 1, types: null, zone: null, oneZone: false, spread: false, spot: true, image: 'img' },
+    ...{ imageGb: 1, estimateS: 10, checkpointS: 0, saveS: 0, deadlineS: null },
+  };
+  const busy = { type, spot: true, booting: false, ageMs: 90_000, idleMs: 0 };
+  const input: FleetInput = {
+    unplaced: [],
+    // Zone a has more machines, so the next one would go to zone b; and one is coming up there.
+    machines: [
+      ...Array.from({ length: 6 }, (_, n) => ({ ...busy, id: `host-${n}`, zone: 'a' })),
+      { ...busy, id: 'host-9', zone: 'b', booting: true },
+    ],
+    ...{ types: [type], refused: () => false, freeingCpus: 0, idleReleaseMs: 20_000 },
+    ...{ allMayStart: true, warmCpus: 0, freeCpus: 0 },
+  };
+  const rented = (fields: Partial<Job>, count: number, zones: [string, number][]): unknown[] =>
+    planFleet({
+      ...input,
+      unplaced: [{ job: { ...array, ...fields }, count, urgent: true, slackMs: 0, zones: new Map(zones) }],
+    }).rent.map((r) => `${r.zone} ${r.count}`);
+  assert.deepEqual(rented({}, 8, [['a', 8]]), ['b 1']);
+  assert.deepEqual(rented({ oneZone: true }, 8, [['a', 8]]), ['a 2']);
+  // One that has not begun goes to one zone whole.
+  assert.deepEqual(rented({ oneZone: true }, 16, []), ['b 3']);
+  assert.deepEqual(rented({ spread: true }, 8, [['b', 8]]), ['a 2']);
+  assert.deepEqual(rented({ spread: true }, 16, []), ['b 1', 'a 2']);
+});
