--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -666,3 +666,51 @@
   assert.deepEqual(rented({ spread: true }, 8, [['b', 8]]), ['a 2']);
   assert.deepEqual(rented({ spread: true }, 16, []), ['b 1', 'a 2']);
 });
+
+/** From now on whatever goes to or from workers takes that much longer each way; controllers start anew for it. */
+async function slowLinks(world: World, ms: number): Promise<void> {
+  const attach = world.network.attach.bind(world.network);
+  world.network.attach = (address, host) => {
+    attach(address, async (request) => {
+      const isWorkers = request.from.startsWith('host-') || address.startsWith('10.1.');
+      if (isWorkers) await world.clock.sleep(ms);
+      const answer = await host(request);
+      if (isWorkers) await world.clock.sleep(ms);
+      return answer;
+    });
+  };
+  for (const index of [0, 1, 2]) world.kill(index);
+  for (const index of [0, 1, 2]) world.restart(index);
+  await world.untilOwned();
+}
+
+test('more work than room, urgent and not, over slow links, while leaders change: all of it is done', async () => {
+  const world = new World({ limitCpus: 6 });
+  await slowLinks(world, 700);
+  const slow = world.state.rule(({ path }) => (path === '/txn' ? { slowMs: 400 } : undefined));
+  world.capacity = 3;
+  const alive = (n: number): number =>
+    [n, n + 1].map((i) => i % 3).find((i) => world.controllers[i]?.alive === true) ?? 0;
+  const urgencies = ['normal', 'urgent', 'best_effort', 'prod'];
+  for (let n = 0; n < 16; n += 1) {
+    const saves = n % 3 === 0 ? { bookmarkS: 5, stashS: 1 } : {};
+    await world.submit(
+      `req-${n}`,
+      {
+        ...{ pieces: 3, urgency: urgencies[n % 4], crew: n % 2 ? 'red' : 'blue', reckonS: 8, ...saves },
+        ...{ cpus: n % 5 === 0 ? 2 : 1, together: n % 7 === 0, apart: n % 7 === 1 },
+      },
+      8,
+      alive(n),
+    );
+    await world.clock.advance(1500);
+    if (n % 6 === 5) assert.equal(await world.cancel(`req-${n - 1}`, alive(n + 1)), 'withdrawn');
+    if (n === 7) await change(world);
+  }
+  slow();
+  await change(world);
+  await world.noJobWaits(300);
+  assert.deepEqual(world.rules.unfinished, []);
+  assert.deepEqual(world.rules.startsAfterCancellation, []);
+  world.noRuleBroken();
+});
