--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -43,8 +43,13 @@
   return owner;
 }
 
-for (const takeover of [false, true]) {
-  test(`at a full limit, cancelled tasks on a machine that hangs keep it full${takeover ? ', also for a new owner' : ''}`, async () => {
+for (const [what, trouble] of [
+  ['under one owner', 'none'],
+  ['for a new owner', 'takeover'],
+  ['for an owner that came after the cancellation', 'nobody'],
+  ['for controllers that all began after the cancellation', 'restarts'],
+] as const) {
+  test(`at a full limit, cancelled tasks on a machine that hangs keep it full, ${what}`, async () => {
     const world = new World({ limitCpus: 4 });
     await longWatched(world);
     await world.submit('req-1', { crew: 'red', pieces: 4 }, 200);
@@ -52,12 +57,24 @@
     const held = [...new Set(world.running.map((p) => world.where(p) ?? ''))];
     for (const id of held) world.worker(id).hanging = true;
     const hangsAt = world.clock.now();
-    await world.clock.advance(500);
-    const asker = (world.owner + 1) % 3;
+    await world.clock.advance(200);
+    const old = world.owner;
+    const asker = (old + 1) % 3;
+    if (trouble === 'nobody') {
+      world.kill(old);
+      await world.clock.advance(500);
+    }
     assert.equal(await world.cancel('req-1', asker), 'withdrawn');
-    const reader = takeover ? await change(world, 20_000) : world.owner;
+    if (trouble === 'nobody') assert.equal(world.owner, -1);
+    if (trouble === 'takeover') await change(world, 20_000);
+    if (trouble === 'restarts') {
+      for (const index of [0, 1, 2]) world.kill(index);
+      await world.clock.advance(500);
+      for (const index of [0, 1, 2]) world.restart(index);
+    }
+    const reader = await world.untilOwned();
     // Long enough for the machine to be taken for silent: what is started goes elsewhere.
-    if (!takeover) await world.clock.advance(3000);
+    if (trouble === 'none') await world.clock.advance(3000);
     await world.submit('req-2', { crew: 'red', pieces: 4 }, 200, reader);
     // Within their leases the machines go on with what they hold.
     while (tasksOf(world, 'req-1').length > 0) {
