Work that may use none of the present machines doesn't wait for their room to come free

What running work frees soon was taken off any backlog that isn't urgent, whatever zone or type that needs.

--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -87,12 +87,16 @@
       room: { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb },
       isNew: false,
     }));
+  // What comes free is counted over all zones and types: work that may go to none of those machines would wait for it as
+  // long as anything short runs elsewhere.
+  const mayUseAny = (job: Job, zones: ReadonlyMap<string, number>): boolean =>
+    input.machines.some((m) => !m.booting && mayUse(job, m) && zoneAllows(job, zones, m.zone));
   let freeing = input.freeingCpus;
   for (const { job, count, urgent, slackMs, zones: taken } of input.unplaced) {
     let left = count;
     // A machine in a zone where its other tasks keep it from going is of no use to it, however many are rented.
     const zones = new Map(taken);
-    if (!urgent) {
+    if (!urgent && mayUseAny(job, zones)) {
       const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
       left -= absorbed;
       freeing -= absorbed * job.cpus;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -731,3 +731,23 @@
   assert.deepEqual(world.rules.startsAfterCancellation, []);
   world.noRuleBroken();
 });
+
+test('a job bound to a zone without machines is not left to wait for room that comes free in another', async () => {
+  const world = new World();
+  for (let n = 0; n < 4; n += 1) world.addWorker('b');
+  await world.clock.advance(13_000);
+  // Short work in zone b, for which there is room: some of it is always about to come free.
+  let next = 10;
+  const goOn = async (): Promise<void> => {
+    next += 1;
+    await world.submit(`req-${next}`, { pieces: 3, yard: 'b', reckonS: 8 }, 8);
+    await world.clock.advance(2000);
+  };
+  for (let n = 0; n < 6; n += 1) await goOn();
+  await world.submit('req-1', { pieces: 2, yard: 'a', reckonS: 8 }, 8);
+  for (let n = 0; n < 15 && tasksOf(world, 'req-1').length === 0; n += 1) await goOn();
+  assert.equal(tasksOf(world, 'req-1').length, 2);
+  await world.noJobWaits(200);
+  assert.deepEqual(world.rules.unfinished, []);
+  world.noRuleBroken();
+});
