A keeper's record counts for the lease it hangs on; unreadable final states are no 'unknown'; writes inside txn_ops

What a node keeps was forgotten only by a step that ran while the session was invalid. A final state that can't be read made other nodes answer 404 for a job that was accepted. Returned machines, up-records and strays were written 20, 12 and 10 at once whatever the settings allow in a transaction.

--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -28,8 +28,10 @@
     const live = await this.store.get(KEY.job(id));
     if (live) return { id, state: 'queued', done: 0, running: 0 };
     const entry = await this.store.get(KEY.final(id));
-    const final = read.final(entry?.value);
-    if (!entry || !final) return undefined;
+    if (!entry) return undefined;
+    const final = read.final(entry.value);
+    // A job that has a record was accepted, whether we can read it or not.
+    if (!final) throw new NoAnswer(`the final state of ${id} can't be read`, false);
     // The transaction that wrote it deleted the live record, and its writer may have died, or never had an answer. Who
     // tells a user of a cancellation has to know of it when it promises an owner that nothing was cancelled unheard
     // (`Vouching`): so it is in this node's view before any answer leaves.
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -25,6 +25,7 @@
 const RETRY_MS = 1_500;
 /** Few enough that a small limit on changes lets other writes go in between. */
 const RECORDS_AT_ONCE = 8;
+const RECORDS_DELETED_AT_ONCE = 20;
 
 /** Rents and returns the block's machines. */
 export class FleetManager {
@@ -90,7 +91,8 @@
   }
 
   async #deleteRecords(): Promise<void> {
-    const ids = [...this.#gone].slice(0, 20);
+    const { txn_ops } = this.deps.settings.platform.deployment.state;
+    const ids = [...this.#gone].slice(0, Math.min(RECORDS_DELETED_AT_ONCE, txn_ops));
     if (ids.length === 0) return;
     const result = await this.deps.store.txn(
       [this.fleet.leaseGuard()],
--- a/src/coordination/keeping.ts
+++ b/src/coordination/keeping.ts
@@ -23,8 +23,11 @@
  * silent worker dead only when the state service says that nobody keeps.
  */
 export class Keeping {
-  /** Blocks that our record, acknowledged and never taken back since, says we keep. */
-  readonly #kept = new Set<number>();
+  /**
+   * Blocks that our record, acknowledged and never taken back since, says we keep, and the lease that it hangs on: with
+   * the next lease it is gone, also when no step ran in between.
+   */
+  readonly #kept = new Map<number, number>();
   readonly #neededAt = new Map<number, number>();
   readonly #startedAt: number;
 
@@ -38,7 +41,8 @@
   /** One step: writes or deletes our records. To be run in a loop, and whenever a peer may have become unreachable. */
   async step(): Promise<void> {
     const { cache, session, node, settings, clock, store } = this.deps;
-    if (!cache.loaded || !session.valid || session.lease === undefined) {
+    const { lease: ownLease } = session;
+    if (!cache.loaded || !session.valid || ownLease === undefined) {
       this.#kept.clear();
       return;
     }
@@ -56,13 +60,13 @@
         lease !== undefined &&
         lease.owner !== node &&
         now - (this.#neededAt.get(block) ?? -Infinity) < LINGER_MS;
-      if (needed && !this.#kept.has(block)) {
+      if (needed && this.#kept.get(block) !== ownLease) {
         const result = await store.txn(
           [{ key, version: cache.version(key) }],
-          [{ put: key, value: {}, lease: session.lease }],
+          [{ put: key, value: {}, lease: ownLease }],
           true,
         );
-        if (result.ok) this.#kept.add(block);
+        if (result.ok) this.#kept.set(block, ownLease);
       } else if (!needed && (this.#kept.has(block) || cache.get(key))) {
         // In this order: nothing is answered any more when the record goes.
         this.#kept.delete(block);
@@ -78,7 +82,8 @@
    */
   answer(report: Report, block: number): { token: number; orders: Order[] } | undefined {
     const { cache, session, node } = this.deps;
-    if (!this.#kept.has(block) || !session.validByOwnLease || report.attempts.length === 0) return undefined;
+    const isKept = session.lease !== undefined && this.#kept.get(block) === session.lease;
+    if (!isKept || !session.validByOwnLease || report.attempts.length === 0) return undefined;
     const lease = read.lease(cache.get(KEY.lease(block))?.value);
     if (!lease || lease.owner === node || this.reach.reaches(lease.owner, block)) return undefined;
     return { token: lease.token, orders: stopsOfEnded(report, cache) };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -137,7 +137,7 @@
       .machines()
       .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
       .filter((m) => !this.cloud.isGone(m.id))
-      .slice(0, STRAYS_AT_ONCE);
+      .slice(0, Math.min(STRAYS_AT_ONCE, settings.platform.deployment.state.txn_ops));
     const leadership = this.#leadership();
     if (strays.length === 0 || !leadership) return;
     const machinesOf = new Map<number, number>();
--- a/src/coordination/up-records.ts
+++ b/src/coordination/up-records.ts
@@ -43,7 +43,9 @@
     this.#writing = true;
     await this.deps.clock.sleep(GATHER_MS);
     while (this.#pending.size > 0) {
-      const batch = [...this.#pending.values()].slice(0, MOST_AT_ONCE).map((p) => p.waiting);
+      const batch = [...this.#pending.values()]
+        .slice(0, Math.min(MOST_AT_ONCE, this.deps.settings.platform.deployment.state.txn_ops))
+        .map((p) => p.waiting);
       const written = await this.#write(batch);
       for (const waiting of batch) {
         this.#pending.delete(waiting.machine.id);
