A late put tells what ended; a machine taken for dead proves its messages new; failed once is not for ever

Three faults shown by stories, each of which failed before: - The nudge of a job's end came before anything of its beginning; the node never counted the job among those that ended, and broke a team's limit when it took over ('red uses 8 of 4'). - A report held up from before a takeover brought back what had died with its worker's session, when the new owner had taken that worker for dead without having met it. The bound on unproven reports counts only for workers not yet settled. - A machine that failed one task of a job got no more of it until the job succeeded elsewhere: where there is no other, for ever. It is avoided for 60 s now. The fleet plan gets the zones of a job's tasks.

--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -154,7 +154,13 @@
   #apply(event: Event): void {
     const held = this.#entries.get(event.key);
     if (held && held.version >= event.version) return;
-    if ((this.#deletedAt.get(event.key) ?? 0) >= event.version) return;
+    const deletedAt = this.#deletedAt.get(event.key) ?? 0;
+    if (deletedAt >= event.version) {
+      // A nudge told of the end before anything told of the beginning: only now is it known what it was that ended.
+      const deletion = { key: event.key, version: deletedAt, deleted: true };
+      if (!event.deleted) for (const listener of this.#listeners) listener(deletion, event.value);
+      return;
+    }
     if (event.deleted) {
       this.#deletedAt.set(event.key, event.version);
       if (!held) return;
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -202,13 +202,18 @@
   #take(machine: Machine, report: Report): OwnAnswer {
     if (!this.entitled || machine.gone || this.machines.get(machine.id) !== machine) return UNDECIDED;
     const now = this.deps.clock.now();
-    if (!machine.settled && report.token < this.#block.token) {
+    // One that we have taken for dead without ever having heard it proves its messages new like any other: else a report
+    // that was held up would bring back what died with its session.
+    const hasMet = machine.settled && (machine.session > 0 || !machine.record.up);
+    if (!hasMet && report.token < this.#block.token) {
       // It may be a copy from before we took the block, held up for long: only our token, or the answer to a question
       // of ours, proves a message new.
       machine.sessionHint = report.session;
-      machine.unproven += 1;
-      // Answers don't reach it. Counted as answered again and again, its lease would never end for us.
-      if (machine.unproven > MAX_UNPROVEN) return UNDECIDED;
+      if (!machine.settled) {
+        machine.unproven += 1;
+        // Answers don't reach it. Counted as answered again and again, its lease would never end for us.
+        if (machine.unproven > MAX_UNPROVEN) return UNDECIDED;
+      }
       machine.answeredAt = now;
       // The answer renews the worker's lease, so it must end what was cancelled, perhaps a lease ago, before we took the
       // block: a worker that hears this one answer and no other would keep it for another lease.
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/dispatch-table.ts
@@ -8,6 +8,9 @@
 
 const FIRST_PAUSE_MS = 2_000;
 const LONGEST_PAUSE_MS = 60_000;
+/** How long a machine that failed a task of the job gets no more of it. Longer, and the job might wait for ever: there may be no other. */
+const AVOID_MS = 60_000;
+const NONE: ReadonlySet<string> = new Set();
 /** A job that failed on so many machines, and succeeded on none, is taken to be at fault itself. */
 const MACHINES_TO_BLAME_JOB = 3;
 
@@ -27,6 +30,7 @@
   /** The attempt that each issued task is on. */
   readonly issued = new Map<number, { machine: string; key: string }>();
   readonly errorMachines = new Set<string>();
+  readonly #failedAt = new Map<string, number>();
   retryAt = 0;
   /** When its completions were last written, or were to be. */
   recordedAt = -Infinity;
@@ -132,18 +136,26 @@
   succeeded(): void {
     this.#errorsInRow = 0;
     this.errorMachines.clear();
+    this.#failedAt.clear();
     this.retryAt = 0;
   }
 
   /** After failures on several machines the job is retried with growing pauses, until its user cancels it. */
   failed(machine: string, now: number): void {
     this.errorMachines.add(machine);
+    this.#failedAt.set(machine, now);
     this.#errorsInRow += 1;
     if (this.errorMachines.size < 2 || this.done > 0) return;
     const pause = FIRST_PAUSE_MS * 2 ** Math.min(this.#errorsInRow - 2, 10);
     this.retryAt = now + Math.min(LONGEST_PAUSE_MS, pause);
   }
 
+  /** Machines that get no task of the job now. */
+  avoided(now: number): ReadonlySet<string> {
+    if (this.#failedAt.size === 0) return NONE;
+    return new Set([...this.#failedAt].filter(([, at]) => now - at < AVOID_MS).map(([machine]) => machine));
+  }
+
   /** Whether failures of its tasks say nothing about the machines that they ran on. */
   get suspect(): boolean {
     return this.done === 0 && this.errorMachines.size >= MACHINES_TO_BLAME_JOB;
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -124,7 +124,7 @@
         zones: block.holdings.zonesOf(job.id),
         slackMs,
         work: table.remaining * job.cpus * runS,
-        avoid: table.errorMachines,
+        avoid: table.avoided(now),
         runS,
         // However much that is smaller or more urgent comes in: the oldest get some room out of turn, for otherwise
         // a large job that is late would wait for as long as the surplus lasts.
@@ -413,7 +413,15 @@
       const startsSoon = startSlackMs !== undefined && startSlackMs < this.#longestBootMs() * START_IN_BOOTS;
       const urgent = PRIORITY_RANK[table.job.priority] <= PRIORITY_RANK.high || startsSoon;
       const slackMs = block.slackMs(table);
-      return [{ job: table.job, count: Math.min(count, table.unassigned), urgent, slackMs }];
+      return [
+        {
+          job: table.job,
+          count: Math.min(count, table.unassigned),
+          urgent,
+          slackMs,
+          zones: block.holdings.zonesOf(id),
+        },
+      ];
     });
     const warmCpus = totalCpus * settings.operator.warm_share;
     const idleReleaseMs = settings.operator.idle_release_s * 1000;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -754,3 +754,90 @@
   assert.deepEqual(world.rules.unfinished, []);
   world.noRuleBroken();
 });
+
+test('a report held back until a new leader has taken the worker for dead tells it nothing of what is there', async () => {
+  const world = new World();
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  await world.submit('req-1', { pieces: 2, reckonS: 60 }, 60);
+  await world.until('2 tasks run', () => world.running.length === 2);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  const held = [worker.report(), worker.report()];
+  world.cutOff(worker.id);
+  world.capacity = 0;
+  world.kill(world.owner);
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  const machine = world.controllers[owner]?.node.owners.get(0)?.machines.get(worker.id);
+  await world.until('it is taken for dead', () => machine?.settled === true, 30);
+  sayAgain(world, held);
+  await world.clock.advance(500);
+  assert.equal(machine?.attempts.size, 0);
+  // There is room elsewhere, and nothing holds it up.
+  world.addWorker('b');
+  world.capacity = 2;
+  for (let step = 0; step < 25; step += 1) {
+    sayAgain(world, held);
+    await world.clock.advance(800);
+  }
+  assert.equal(tasksOf(world, 'req-1').length, 2);
+  await world.untilStanding('req-1', 'done', 120, owner);
+  world.noRuleBroken();
+});
+
+test('an array that has to stay together gets room for what it lost in its own zone, where most machines are', async () => {
+  const world = new World();
+  world.capacity = 30;
+  await world.submit('req-2', { pieces: 24, yard: 'a', reckonS: 400 }, 400);
+  await world.until('24 tasks run', () => world.running.length === 24);
+  for (let n = 0; n < 4; n += 1) world.addWorker('a');
+  await world.clock.advance(10_000);
+  await world.submit('req-1', { pieces: 12, together: true, reckonS: 400 }, 400);
+  await world.until('36 tasks run', () => world.running.length === 36);
+  for (const worker of world.workers.values()) if (worker.pieces.size === 0) worker.vanish();
+  const before = world.workers.size;
+  world.worker(world.where('req-1/0') ?? '').vanish();
+  await world.until('all run again', () => world.running.length === 36, 20);
+  const rented = [...world.workers.values()].slice(before).map((worker) => zoneOf(world, worker.id));
+  assert.deepEqual(rented, ['a']);
+  world.noRuleBroken();
+});
+
+test('a job whose end a node heard of before its beginning still fills its limit for that node, when it takes over', async () => {
+  const world = new World({ limitCpus: 4 });
+  await longWatched(world);
+  const old = await world.untilOwned();
+  // The others' watches are slow, and nobody tells them of the acceptance.
+  const slow = world.state.rule(({ from, path }) =>
+    from !== `node-${old}` && path.startsWith('/changes') ? { slowMs: 1500 } : undefined,
+  );
+  await world.clock.advance(2000);
+  world.silencePeers = true;
+  await world.submit('req-1', { crew: 'red', cpus: 4 }, 200, old);
+  await world.until('it runs', () => world.running.length === 1, 1);
+  const id = world.where('req-1/0') ?? '';
+  const heal = world.cutOff(id);
+  world.silencePeers = false;
+  assert.equal(await world.cancel('req-1', old), 'withdrawn');
+  slow();
+  world.kill(old);
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  await world.submit('req-2', { crew: 'red', cpus: 4 }, 200, owner);
+  while (world.where('req-1/0') !== undefined) await world.clock.advance(100);
+  heal();
+  await world.until('req-2 runs', () => world.where('req-2/0') !== undefined, 60);
+  world.noRuleBroken();
+});
+
+test('a machine that failed one task once is tried again when there is no other', async () => {
+  const world = new World();
+  world.capacity = 1;
+  await world.submit('req-1', { pieces: 2, reckonS: 300 }, 300);
+  await world.until('2 tasks run', () => world.running.length === 2);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  worker.sick = true;
+  await world.submit('req-2', { pieces: 1, reckonS: 5 }, 5);
+  await world.until('it fails', () => [...worker.pieces.values()].some((p) => p.cause === 'error'), 10);
+  worker.sick = false;
+  await world.noJobWaits(130);
+});
