Settings with a block lease of 2 s start again; the bound counts a promise where it is longer

The refusal was the wrong check: what has to stay under cancel_s is the longer of block lease and promise, the doubt and the worker's lease, and it does.

--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -101,9 +101,9 @@
 const DEFAULT_BLOCK_LEASE_MS = 5_000;
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
-/** A promise of other nodes to an owner (`Vouching`) binds for this long; no block lease is shorter. */
+/** A promise of other nodes to an owner (`Vouching`) binds for this long. */
 export const PROMISE_MS = 2_500;
-const MIN_BLOCK_LEASE_MS = PROMISE_MS;
+const MIN_BLOCK_LEASE_MS = 2_000;
 /** For timers and messages on their way, where a sum of times has to stay under the bound on cancellations. */
 const TURN_MARGIN_MS = 1_000;
 /** With the runtime's flags as `deploy/service.toml` has them; figures in docs/PERFORMANCE.md. */
@@ -176,8 +176,10 @@
         ]
       : [];
   const blockLeaseMs = Math.floor(wanted);
-  // At least CANCEL_MARGIN_MS - TURN_MARGIN_MS, by the bound on the block lease.
-  const cancelDoubtMs = (cancel_s - lease_s) * 1000 - blockLeaseMs - TURN_MARGIN_MS;
+  // Within this time an owner has heard of a cancellation, or has stopped. At least 2.5 s are left, by the bound on the
+  // block lease.
+  const hearingMs = Math.max(blockLeaseMs, PROMISE_MS);
+  const cancelDoubtMs = (cancel_s - lease_s) * 1000 - hearingMs - TURN_MARGIN_MS;
   return { platform: p, operator: o, blockLeaseMs, cancelDoubtMs, sockets, pace, warnings };
 }
 
