--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -347,6 +347,16 @@
     );
   }
 
+  /** The controller hears no other, and none hears it, until the function returned is called. */
+  partFromPeers(index: number): () => void {
+    const name = `node-${index}`;
+    const pairs = this.#nodes.filter((other) => other.name !== name).map((other) => `${name}|${other.name}`);
+    for (const pair of pairs) this.apart.add(pair);
+    return () => {
+      for (const pair of pairs) this.apart.delete(pair);
+    };
+  }
+
   /** The worker's reports arrive; answers and direct commands to it are lost, until the function returned is called. */
   deafen(machine: string): () => void {
     const { address } = this.worker(machine);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { planFleet, type FleetInput } from '../src/coordination/fleet';
 import type { Job } from '../src/protocol/model';
+import type { FakeWorker } from './fakes/worker';
 import { CANCEL_S, World } from './fakes/world';
 
 /**
@@ -356,15 +357,19 @@
   world.noRuleBroken();
 });
 
+/** A machine with a task, and room for everything elsewhere, and once more. */
+async function oneBusyMachine(world: World): Promise<FakeWorker> {
+  await world.submit('req-1', { pieces: 1, reckonS: 60 }, 60);
+  await world.until('it runs', () => world.running.length === 1);
+  for (let n = 0; n < 5; n += 1) world.addWorker('b');
+  await world.clock.advance(13_000);
+  return world.worker(world.where('req-1/0') ?? '');
+}
+
 for (const takeover of [false, true]) {
   test(`starts wait at a machine that hangs${takeover ? ' while the leader ends' : ''}, and are carried out when it goes on`, async () => {
     const world = new World();
-    await world.submit('req-1', { pieces: 1, reckonS: 60 }, 60);
-    await world.until('it runs', () => world.running.length === 1);
-    // Room for everything elsewhere, and once more.
-    for (let n = 0; n < 5; n += 1) world.addWorker('b');
-    await world.clock.advance(13_000);
-    const worker = world.worker(world.where('req-1/0') ?? '');
+    const worker = await oneBusyMachine(world);
     let queued = 0;
     world.network.rule(({ to, path, body }) => {
       if (to === worker.address && path === '/do' && JSON.stringify(body).includes('"run"')) queued += 1;
@@ -388,11 +393,7 @@
 
 test('a start is held up on its way until its leader has ended, and arrives before the next one can ask', async () => {
   const world = new World();
-  await world.submit('req-1', { pieces: 1, reckonS: 60 }, 60);
-  await world.until('it runs', () => world.running.length === 1);
-  for (let n = 0; n < 5; n += 1) world.addWorker('b');
-  await world.clock.advance(13_000);
-  const worker = world.worker(world.where('req-1/0') ?? '');
+  const worker = await oneBusyMachine(world);
   let held = 0;
   const hold = world.network.rule(({ to, path, body }) => {
     if (to !== worker.address || path !== '/do' || !JSON.stringify(body).includes('"run"')) return undefined;
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -207,14 +207,25 @@
   assert.equal(lease?.owner, `node-${world.owner}`);
 }
 
+/** The day goes on to its end. What comes late may be the last thing in it, and is waited for. */
+async function playsOut(
+  world: World,
+  struck: () => number,
+  faults: readonly string[],
+  lateMs = 0,
+): Promise<void> {
+  await day(world);
+  assert.ok(struck() > 0, 'it never came about');
+  await world.clock.advance(lateMs);
+  nothingLeft(world);
+  assert.deepEqual(faults, []);
+}
+
 for (const kind of Object.keys(KINDS)) {
   test(`${kind}: carried out and never answered`, async () => {
     const { world, faults } = deployment(kind);
     const struck = strike(world, kind, 2, () => 'lose answer');
-    await day(world);
-    assert.ok(struck() > 0, 'it never came about');
-    nothingLeft(world);
-    assert.deepEqual(faults, []);
+    await playsOut(world, struck, faults);
   });
 
   test(`${kind}: carried out 12 s late, after newer ones`, async () => {
@@ -223,12 +234,7 @@
       world.clock.after(LATE_MS, () => world.network.release());
       return 'hold';
     });
-    await day(world);
-    assert.ok(struck() > 0, 'it never came about');
-    // It may have been the last thing of the day.
-    await world.clock.advance(20_000);
-    nothingLeft(world);
-    assert.deepEqual(faults, []);
+    await playsOut(world, struck, faults, 20_000);
   });
 
   test(`${kind}: carried out after its sender ended and began again`, async () => {
@@ -244,12 +250,7 @@
       world.clock.after(LATE_MS, () => world.network.release());
       return 'hold';
     });
-    await day(world);
-    assert.ok(struck() > 0, 'it never came about');
-    // It may have been the last thing of the day.
-    await world.clock.advance(20_000);
-    nothingLeft(world);
-    assert.deepEqual(faults, []);
+    await playsOut(world, struck, faults, 20_000);
   });
 }
 
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -479,13 +479,7 @@
   }
 
   #hearsNoOther(index: number, forMs: number): void {
-    const { apart } = this.world;
-    const name = `node-${index}`;
-    const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
-    for (const pair of pairs) apart.add(pair);
-    this.#lasts(`${name} hears no other`, forMs, () => {
-      for (const pair of pairs) apart.delete(pair);
-    });
+    this.#lasts(`node-${index} hears no other`, forMs, this.world.partFromPeers(index));
   }
 
   #zoneCut(index: number, forMs: number): void {
@@ -496,11 +490,10 @@
       const ends = [this.#isBeyond(from, index), this.#isBeyond(to, index)];
       return ends.includes(true) && ends.includes(false) ? 'lose' : undefined;
     });
-    const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
-    for (const pair of pairs) world.apart.add(pair);
+    const meet = world.partFromPeers(index);
     this.#lasts(`zone b is cut off with ${name}`, forMs, () => {
       cut();
-      for (const pair of pairs) world.apart.delete(pair);
+      meet();
     });
   }
 
@@ -518,11 +511,10 @@
     const cut = world.network.rule(({ from, to }) =>
       from === name && to.startsWith('10.2.') ? 'lose' : undefined,
     );
-    const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
-    for (const pair of pairs) world.apart.add(pair);
+    const meet = world.partFromPeers(index);
     this.#lasts(`${name} is cut from state service, cloud and peers`, forMs, () => {
       cut();
-      for (const pair of pairs) world.apart.delete(pair);
+      meet();
     });
   }
 
