--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -85,6 +85,11 @@
   operator: OperatorSettings;
   /** Longest time that a controller may act on a block without news from the state service. */
   blockLeaseMs: number;
+  /**
+   * How long after its owner has heard of a cancellation a worker may go on being answered while a start of that job may
+   * still reach it: the block lease (until the owner hears), this and the worker's lease are under `cancel_s`.
+   */
+  cancelDoubtMs: number;
   sockets: SocketShares;
   /** What follows from the share of a core, and the operator's own word where there is one. */
   pace: Pace;
@@ -96,7 +101,11 @@
 const DEFAULT_BLOCK_LEASE_MS = 5_000;
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
-const MIN_BLOCK_LEASE_MS = 2_000;
+/** A promise of other nodes to an owner (`Vouching`) binds for this long; no block lease is shorter. */
+export const PROMISE_MS = 2_500;
+const MIN_BLOCK_LEASE_MS = PROMISE_MS;
+/** For timers and messages on their way, where a sum of times has to stay under the bound on cancellations. */
+const TURN_MARGIN_MS = 1_000;
 /** With the runtime's flags as `deploy/service.toml` has them; figures in docs/PERFORMANCE.md. */
 const LEAST_MEMORY_MB = 100;
 /** Connections that a node can't do without: a few workers, users and the health probe. */
@@ -166,7 +175,10 @@
           `${files[0]}: deployment.quota.mem_mb: ${mem_mb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
         ]
       : [];
-  return { platform: p, operator: o, blockLeaseMs: Math.floor(wanted), sockets, pace, warnings };
+  const blockLeaseMs = Math.floor(wanted);
+  // At least CANCEL_MARGIN_MS - TURN_MARGIN_MS, by the bound on the block lease.
+  const cancelDoubtMs = (cancel_s - lease_s) * 1000 - blockLeaseMs - TURN_MARGIN_MS;
+  return { platform: p, operator: o, blockLeaseMs, cancelDoubtMs, sockets, pace, warnings };
 }
 
 export function readSettings(platformFile: string, operatorFile?: string): Settings {
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -16,7 +16,7 @@
   constructor(
     private readonly store: StateStore,
     private readonly clock: Clock,
-    /** Tells the other nodes of a change that was just acknowledged. */
+    /** Brings a change that the state service has told us of into this node's view, and tells the other nodes. */
     private readonly announce: (event: Event) => void,
   ) {}
 
@@ -27,8 +27,15 @@
     // In this order: a job that ends between the two reads is found by the second.
     const live = await this.store.get(KEY.job(id));
     if (live) return { id, state: 'queued', done: 0, running: 0 };
-    const final = read.final((await this.store.get(KEY.final(id)))?.value);
-    return final && this.rememberFinal(id, final.state, final.done);
+    const entry = await this.store.get(KEY.final(id));
+    const final = read.final(entry?.value);
+    if (!entry || !final) return undefined;
+    // The transaction that wrote it deleted the live record, and its writer may have died, or never had an answer. Who
+    // tells a user of a cancellation has to know of it when it promises an owner that nothing was cancelled unheard
+    // (`Vouching`): so it is in this node's view before any answer leaves.
+    if (final.state === 'cancelled')
+      this.announce({ key: KEY.job(id), version: entry.version, deleted: true });
+    return this.rememberFinal(id, final.state, final.done);
   }
 
   rememberFinal(id: string, state: FinalState, done: number): JobStatus {
--- a/src/bookkeeping/session.ts
+++ b/src/bookkeeping/session.ts
@@ -35,10 +35,19 @@
   /** The steady time up to which this node may act. */
   get validUntil(): number {
     if (this.#lease === undefined) return -Infinity;
+    return Math.max(this.#ownUntil, this.#promisedUntil);
+  }
+
+  get #ownUntil(): number {
     // The lease is counted from when the renewal was sent. A view that is older than the lease could miss a
     // cancellation, so it bounds the node's right to act just the same.
     const base = Math.min(this.#renewedAt, this.cache.freshAt);
-    return Math.max(base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS, this.#promisedUntil);
+    return base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS;
+  }
+
+  /** Whether the node may act by the state service's word alone, without the promises of others. */
+  get validByOwnLease(): boolean {
+    return this.#lease !== undefined && this.clock.now() < this.#ownUntil;
   }
 
   /** All other nodes have promised not to take what we hold before this time. Only a right still held is prolonged. */
--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -2,6 +2,7 @@
 import type { Entry, Event, StateStore } from '../protocol/state';
 
 const REMEMBERED_DELETES = 2000;
+const KEPT_DELETES = 1000;
 
 /** Told of a change, and of the value that was there before. */
 type Listener = (event: Event, before: unknown) => void;
@@ -96,16 +97,29 @@
     for (const event of news.events) this.#apply(event);
     this.#revision = Math.max(this.#revision, news.revision);
     this.freshAt = sentAt;
-    if (this.#deletedAt.size > REMEMBERED_DELETES) {
-      this.#deletedAt.clear();
-      this.#deletesFrom = this.#revision;
+    this.#forgetDeletes();
+  }
+
+  /**
+   * Forgets the oldest deletions. Never one that is ahead of the watch: an owner whose view is as old as ours would be
+   * promised that nothing else had ended, and a late nudge could bring the key back.
+   */
+  #forgetDeletes(): void {
+    if (this.#deletedAt.size <= REMEMBERED_DELETES) return;
+    for (const [key, version] of this.#deletedAt) {
+      if (this.#deletedAt.size <= KEPT_DELETES) return;
+      if (version > this.#revision) continue;
+      this.#deletedAt.delete(key);
+      this.#deletesFrom = Math.max(this.#deletesFrom, version);
     }
   }
 
   /** Takes a change that somebody told us of ahead of the watch. */
   offer(event: Event): void {
-    // What the watch has passed already is either here or was changed again since.
-    if (!this.#loaded || event.version <= this.#revision) return;
+    // What the watch has passed already is either here or was changed again since. Before the copy is loaded, or while it
+    // is read again, changes count all the same: a deletion that was left out then, and a page read before it, would be
+    // missing from a promise given before the next watch is answered.
+    if (event.version <= this.#revision) return;
     this.#apply(event);
   }
 
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -18,6 +18,8 @@
   readonly #health = new Health();
   /** Something was found that no table asked for, since surplus was last looked for. */
   #maybeSurplus = true;
+  /** Attempts of jobs that are over, until each is known gone: most take no longer than a command does. */
+  readonly #ended = new Map<Attempt, Machine>();
 
   constructor(
     private readonly block: Block,
@@ -61,10 +63,38 @@
 
   closeJob(id: string): void {
     if (!this.block.tables.delete(id)) return;
-    for (const [attempt, machine] of this.block.holdings.ofJob(id)) this.want(machine, attempt, 0);
+    for (const [attempt, machine] of this.block.holdings.ofJob(id)) this.#end(machine, attempt);
     this.block.wake();
   }
 
+  #end(machine: Machine, attempt: Attempt): void {
+    attempt.endedSince ??= this.deps.clock.now();
+    this.#ended.set(attempt, machine);
+    this.want(machine, attempt, 0);
+  }
+
+  /** Attempts whose jobs ended longer ago than a cancellation leaves room for doubt, and that are not known gone. */
+  *overdueStops(now: number): Iterable<[Attempt, Machine]> {
+    for (const [attempt, machine] of this.#ended) {
+      const isGone = attempt.phase === 'exited' || machine.attempts.get(attempt.key) !== attempt;
+      if (isGone) this.#ended.delete(attempt);
+      else if (now - (attempt.endedSince ?? now) > this.deps.settings.cancelDoubtMs) yield [attempt, machine];
+    }
+  }
+
+  /**
+   * Whether a start of a job that is over may still reach the machine, though we heard of its end long ago: the token
+   * can't be raised while the state service is out. Unanswered, the worker's lease and session end within the bound on
+   * cancellations, and what may come late ends with them.
+   */
+  mayStartEnded(machine: Machine, now: number): boolean {
+    if (this.#ended.size === 0) return false;
+    for (const [attempt, where] of this.overdueStops(now)) {
+      if (where === machine && machine.mayStillStart(attempt)) return true;
+    }
+    return false;
+  }
+
   apply(machine: Machine, changes: readonly Change[]): void {
     for (const { kind, attempt } of changes) {
       const table = this.block.tables.get(attempt.job);
@@ -81,7 +111,7 @@
   #found(machine: Machine, attempt: Attempt, table: DispatchTable | undefined): void {
     if (attempt.phase === 'exited') return;
     if (!table) {
-      this.want(machine, attempt, 0);
+      this.#end(machine, attempt);
     } else if (
       !table.issued.has(attempt.task) &&
       !table.isDone(attempt.task) &&
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -11,6 +11,7 @@
 import type { FleetInput, RentOption } from './fleet';
 import { FleetManager } from './fleet-manager';
 import { holdsRoom, type Machine } from './machine';
+import { stopsOfEnded } from './keeping';
 import { Recorder } from './recorder';
 import { Scheduler } from './scheduler';
 import { TokenRaiser } from './token';
@@ -208,11 +209,15 @@
       machine.unproven += 1;
       // Answers don't reach it. Counted as answered again and again, its lease would never end for us.
       if (machine.unproven > MAX_UNPROVEN) return UNDECIDED;
-    } else {
-      const isNews = machine.isNews(report);
-      this.#absorb(machine, report);
-      if (isNews) machine.renewedAt = now;
+      machine.answeredAt = now;
+      // The answer renews the worker's lease, so it must end what was cancelled, perhaps a lease ago, before we took the
+      // block: a worker that hears this one answer and no other would keep it for another lease.
+      return { kind: 'accepted', token: this.#block.token, orders: stopsOfEnded(report, this.deps.cache) };
     }
+    const isNews = machine.isNews(report);
+    this.#absorb(machine, report);
+    if (isNews) machine.renewedAt = now;
+    if (this.#attempts.mayStartEnded(machine, now)) return UNDECIDED;
     const orders = this.#commander.orders(machine, false);
     // Counted from now, which is later than when the worker sent the report: its own lease ends before ours of it.
     machine.answeredAt = now;
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -46,8 +46,10 @@
   async returnStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
     if (signal.aborted || !this.fleet.entitled) return;
-    await this.#deleteRecords();
+    // Records come last: without the state service they can't be deleted, while a machine's return may be what ends a
+    // cancelled task in time.
     await this.#release();
+    await this.#deleteRecords();
   }
 
   /** One step of renting; to be run in a loop. */
--- a/src/coordination/keeping.ts
+++ b/src/coordination/keeping.ts
@@ -1,5 +1,6 @@
 import { blockCount } from '../bookkeeping/block-count';
 import { KEY, read } from '../bookkeeping/records';
+import type { WatchCache } from '../bookkeeping/watch-cache';
 import type { Order, Report } from '../protocol/model';
 import type { Deps } from './deps';
 import { SILENT_MS, type Reach } from './reach';
@@ -7,6 +8,13 @@
 /** How long a node goes on keeping after it last had a reason to. */
 const LINGER_MS = 3_000;
 
+/** Stops for what the report shows of jobs that are over: whoever renews a worker's lease sends them along. */
+export function stopsOfEnded(report: Report, cache: WatchCache): Order[] {
+  return report.attempts
+    .filter((a) => a.phase !== 'exited' && !cache.get(KEY.job(a.job)))
+    .map(({ job, task, attempt }) => ({ op: 'stop', job, task, attempt, graceS: 0 }));
+}
+
 /**
  * Keeps the leases of another node's workers while they reach this node and not their owner: zones cut from each
  * other, or a takeover. A keeper answers reports with the block's current token and starts nothing; all it orders is
@@ -63,15 +71,16 @@
     }
   }
 
-  /** The answer to a worker's report, if we keep its block; only for a machine that holds tasks. */
+  /**
+   * The answer to a worker's report, if we keep its block; only for a machine that holds tasks. Never by promises: while
+   * the state service is out nobody raises the token, and a start of the owner's that is held up beyond the cut could
+   * be carried out for as long as we answered, though its job was cancelled long ago.
+   */
   answer(report: Report, block: number): { token: number; orders: Order[] } | undefined {
     const { cache, session, node } = this.deps;
-    if (!this.#kept.has(block) || !session.valid || report.attempts.length === 0) return undefined;
+    if (!this.#kept.has(block) || !session.validByOwnLease || report.attempts.length === 0) return undefined;
     const lease = read.lease(cache.get(KEY.lease(block))?.value);
     if (!lease || lease.owner === node || this.reach.reaches(lease.owner, block)) return undefined;
-    const orders: Order[] = report.attempts
-      .filter((a) => a.phase !== 'exited' && !cache.get(KEY.job(a.job)))
-      .map(({ job, task, attempt }) => ({ op: 'stop', job, task, attempt, graceS: 0 }));
-    return { token: lease.token, orders };
+    return { token: lease.token, orders: stopsOfEnded(report, cache) };
   }
 }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -31,6 +31,8 @@
   inFlight: boolean;
   /** Wanted gone. */
   stop: { graceS: number; since: number } | undefined;
+  /** Since when its owner knows that its job is over. */
+  endedSince?: number;
 }
 
 export interface Change {
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -53,10 +53,23 @@
     this.#heedKeepers(now);
     this.#heedNotices(now);
     this.#eager(now);
+    this.#endCancelled(now);
     this.#retire(now);
     if (this.deps.lag.mayMeasure) this.#consolidate(now);
   }
 
+  /**
+   * A cancelled task on a machine that can't be reached is proved gone by returning the machine, also where many are
+   * silent at once and taken for a cut of ours, or other nodes keep the leases: a machine that hangs hears neither.
+   */
+  #endCancelled(now: number): void {
+    for (const [, machine] of this.attempts.overdueStops(now)) {
+      if (machine.leaving !== undefined || !machine.isSilent(now, this.block.timing.missedMs)) continue;
+      this.deps.log.info({ machine: machine.id }, 'a cancelled task there can not be stopped');
+      machine.leaving = 'silent';
+    }
+  }
+
   /** Finds room for what waits. True: the time was up before all had their turn. */
   round(now: number): boolean {
     this.attempts.stopSurplus();
--- a/src/coordination/vouching.ts
+++ b/src/coordination/vouching.ts
@@ -1,11 +1,11 @@
+import { PROMISE_MS } from '../base/settings';
 import { blockCount } from '../bookkeeping/block-count';
 import { KEY, PREFIX, read } from '../bookkeeping/records';
 import { DRIFT } from '../bookkeeping/session';
 import type { Ask, PeerMessage, PeerPromise } from '../protocol/peers';
 import type { Deps } from './deps';
 
-/** How long a promise binds, and what of it the asker leaves unused. */
-const PROMISE_MS = 2_500;
+/** What of a promise the asker leaves unused. */
 const UNUSED_MS = 400;
 const ASK_EVERY_MS = 400;
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -3,6 +3,7 @@
 import { Node } from '../../src/coordination/node';
 import { createRoutes } from '../../src/coordination/routes';
 import { codec } from '../../src/protocol/codec';
+import { readPeerMessage } from '../../src/protocol/peers';
 import type { Answer } from '../../src/transport/http-client';
 import { FakeClock, Process } from './clock';
 import { FakeNetwork, type Request } from './network';
@@ -49,6 +50,8 @@
   cloudGarbage = false;
   /** What controllers tell each other is lost. */
   silencePeers = false;
+  /** Kinds of messages between controllers that are lost. */
+  readonly lostPeerMessages = new Set<string>();
   /** Controllers that no other hears, and that hear no other. */
   readonly mutes = new Set<string>();
   /** Pairs of controllers that do not hear each other, as `a|b`. */
@@ -113,6 +116,7 @@
       workers: { call: (...request) => process.reached(caller.call(...request)) },
       broadcast: (bytes) => {
         if (this.silencePeers || this.mutes.has(own.name)) return;
+        if (this.lostPeerMessages.has(readPeerMessage(bytes)?.kind ?? '')) return;
         for (const other of this.controllers) {
           const cut =
             this.apart.has(`${own.name}|${other.name}`) || this.apart.has(`${other.name}|${own.name}`);
--- /dev/null
+++ b/test/gap.test.ts
@@ -0,0 +1,214 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
+import type { Deps } from '../src/coordination/deps';
+import { Keeping } from '../src/coordination/keeping';
+import { Reach } from '../src/coordination/reach';
+import type { Event, StateStore } from '../src/protocol/state';
+import { parseReport } from '../src/protocol/workers';
+import { FakeClock } from './fakes/clock';
+import { CANCEL_S, World } from './fakes/world';
+
+/** A job that is to be cancelled and one that isn't, both with long to go; who owns them, and the two others. */
+async function busyWorld(
+  pieces = 4,
+): Promise<{ world: World; owner: number; second: number; third: number }> {
+  const world = new World();
+  const owner = await world.untilOwned();
+  await world.submit('req-1', { pieces }, 300);
+  await world.submit('req-2', { pieces }, 300);
+  await world.until('all run', () => world.running.length >= 2 * pieces);
+  await world.clock.advance(5_000);
+  return { world, owner, second: (owner + 1) % 3, third: (owner + 2) % 3 };
+}
+
+const of = (world: World, job: string): string[] => world.running.filter((p) => p.startsWith(`${job}/`));
+const nameOf = (world: World, index: number): string => world.controllers[index]?.name ?? '';
+
+for (const way of [
+  'the node that wrote it',
+  'one that only read it',
+  'one whose write got no answer',
+] as const) {
+  test(`the gap: a cancellation confirmed by ${way} ends in time, though its owner is vouched for`, async () => {
+    const { world, owner, second, third } = await busyWorld();
+    // Nobody's view hears of it but through what nodes know of their own answers; watches that are open end in a second.
+    world.lostPeerMessages.add('nudge');
+    const watches = world.network.rule(({ from, path }) =>
+      path.startsWith('/changes') && from !== nameOf(world, owner) ? 'lose' : undefined,
+    );
+    await world.clock.advance(1_100);
+    world.state.refused.add(nameOf(world, owner));
+    if (way !== 'the node that wrote it') {
+      const rule = world.network.rule(({ path, body }) =>
+        path === '/txn' && JSON.stringify(body).includes('cancelled') ? 'lose answer' : undefined,
+      );
+      const { status } = await world.ask(second, 'POST', '/work/req-1/withdraw');
+      assert.equal(status, 503);
+      rule();
+    }
+    const teller = way === 'one that only read it' ? third : second;
+    assert.equal(await world.cancel('req-1', teller), 'withdrawn');
+    const toldAt = world.clock.now();
+    world.state.outage(true);
+    watches();
+    await world.clock.advance(8_000);
+    // This is the meeting: the old owner goes on, for all others vouch for it.
+    assert.equal(world.owner, owner);
+    await world.clock.advance(toldAt + CANCEL_S * 1000 - world.clock.now());
+    assert.deepEqual(of(world, 'req-1'), []);
+    assert.equal(of(world, 'req-2').length, 4);
+    await world.clock.advance(15_000);
+    assert.equal(of(world, 'req-2').length, 4);
+    world.state.outage(false);
+    world.state.refused.clear();
+    await world.clock.advance(20_000);
+    for (const index of [0, 1, 2]) assert.equal(await world.standing('req-1', index), 'withdrawn');
+    world.noRuleBroken();
+  });
+}
+
+test('a start that is held up comes too late for a cancelled job, though no token can be raised', async () => {
+  const { world, owner, second } = await busyWorld();
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  world.addWorker();
+  await world.clock.advance(13_000);
+  const held: string[] = [];
+  const rule = world.network.rule(({ path, body, to }) => {
+    if (path !== '/do' || !JSON.stringify(body).includes('req-3/0')) return undefined;
+    held.push(to);
+    return 'hold';
+  });
+  await world.submit('req-3', { pieces: 1 }, 300, second);
+  await world.until('its start is on its way', () => held.length > 0, 5);
+  world.state.refused.add(nameOf(world, owner));
+  assert.equal(await world.cancel('req-3', second), 'withdrawn');
+  const toldAt = world.clock.now();
+  world.state.outage(true);
+  rule();
+  const worker = [...world.workers.values()].find((w) => w.address === held[0]);
+  assert.ok(worker);
+  const { shift } = worker;
+  await world.clock.advance(toldAt + CANCEL_S * 1000 - 500 - world.clock.now());
+  assert.equal(world.owner, owner, 'the owner is vouched for all the while');
+  assert.ok(worker.shift > shift, 'the worker that may still start it was left to its lease');
+  world.network.release();
+  await world.clock.advance(5_000);
+  assert.deepEqual(of(world, 'req-3'), []);
+  world.noRuleBroken();
+});
+
+test('machines that hang with cancelled tasks are returned in time, though so many look like a cut', async () => {
+  const { world, second } = await busyWorld(8);
+  const returned: string[] = [];
+  world.network.rule(({ path, body }) => {
+    if (path === '/hosts/release') returned.push(...(body as { hearths: string[] }).hearths);
+    return undefined;
+  });
+  for (const piece of world.running) world.worker(world.where(piece) ?? '').hanging = true;
+  const due: { at: number; holders: Set<string> }[] = [];
+  for (const job of ['req-1', 'req-2']) {
+    const holders = new Set(of(world, job).map((p) => world.where(p) ?? ''));
+    assert.ok(holders.size >= 2);
+    assert.equal(await world.cancel(job, second), 'withdrawn');
+    due.push({ at: world.clock.now() + CANCEL_S * 1000, holders });
+    await world.clock.advance(3_000);
+  }
+  // Records of machines can't be deleted in an outage: those of the first ones returned must not hold up the others.
+  world.state.outage(true);
+  for (const { at, holders } of due) {
+    await world.clock.advance(at - world.clock.now());
+    for (const id of holders) assert.ok(returned.includes(id), `${id} of ${[...holders].join()}`);
+  }
+  world.noRuleBroken();
+});
+
+test('the answer that renews a lease after a takeover also stops what was cancelled before it', async () => {
+  const { world, owner, second } = await busyWorld();
+  const machine = world.worker(world.where('req-1/0') ?? '');
+  // The new owner reaches it by no command, and of its reports only one arrives.
+  world.network.rule(({ from, to }) => (from === machine.id || to === machine.address ? 'lose' : undefined));
+  const report = machine.report();
+  world.lostPeerMessages.add('nudge');
+  assert.equal(await world.cancel('req-1', second), 'withdrawn');
+  world.kill(owner);
+  await world.clock.advance(100);
+  const heir = await world.untilOwned();
+  const answer = await world.ask(heir, 'POST', '/hello', report);
+  assert.equal(answer.status, 200);
+  const { orders } = answer.body as { orders: { verb: string; piece: string; leewayS: number }[] };
+  const halted = orders.filter((o) => o.verb === 'halt' && o.leewayS === 0).map((o) => o.piece);
+  const held = [...machine.pieces.values()].filter((p) => p.job === 'req-1').map((p) => `req-1/${p.task}`);
+  assert.deepEqual(halted, held);
+  world.noRuleBroken();
+});
+
+test('a keeper answers by its own lease, never by promises', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 1 }, 300);
+  await world.until('it runs', () => world.running.length === 1);
+  const report = parseReport(world.worker(world.where('req-1/0') ?? '').report());
+  assert.ok(report);
+  const lease = { key: 'live/lease/0', value: { owner: 'node-1', token: 7 }, version: 1 };
+  for (const ownLease of [true, false]) {
+    const deps = {
+      ...{ node: 'node-0', clock: world.clock, settings: world.controllers[0]?.node.settings },
+      cache: {
+        loaded: true,
+        get: (key: string) => (key === lease.key || key === 'live/job/req-1' ? lease : undefined),
+        version: () => 0,
+      },
+      session: { valid: true, lease: 3, validByOwnLease: ownLease },
+      store: { txn: () => Promise.resolve({ ok: true, revision: 2 }) },
+    };
+    const keeping = new Keeping(deps as unknown as Deps, new Reach(world.clock));
+    await world.clock.advance(5_000);
+    await keeping.step();
+    assert.deepEqual(keeping.answer(report, 0), ownLease ? { token: 7, orders: [] } : undefined);
+  }
+});
+
+/** A state service that has what a story says, and a copy of it with no pause between watches. */
+class Scripted {
+  events: Event[] = [];
+  revision = 0;
+  readonly #clock = new FakeClock();
+  readonly cache: WatchCache;
+
+  constructor() {
+    const store = {
+      list: () => Promise.resolve({ entries: [], more: false, revision: this.revision }),
+      changes: () => Promise.resolve({ revision: this.revision, events: this.events }),
+    };
+    this.cache = new WatchCache(store as unknown as StateStore, 'live/', this.#clock, 1000, 0);
+  }
+
+  async step(): Promise<void> {
+    const step = this.cache.step();
+    await this.#clock.advance(1);
+    await step;
+  }
+}
+
+const ended = (n: number, version: number): Event => ({ key: `live/job/req-${n}`, version, deleted: true });
+
+test('what a node confirmed before its copy was loaded is named in its promises', async () => {
+  const state = new Scripted();
+  state.cache.offer(ended(7, 3));
+  await state.step();
+  assert.deepEqual(state.cache.deletedSince('live/job/', 0), [{ key: 'live/job/req-7', version: 3 }]);
+});
+
+test('remembered ends are bounded, and those ahead of the watch are never forgotten', async () => {
+  const state = new Scripted();
+  await state.step();
+  state.cache.offer(ended(0, 9_000));
+  state.events = Array.from({ length: 5_000 }, (_, n) => ended(n + 1, n + 1));
+  state.revision = 5_000;
+  await state.step();
+  assert.equal(state.cache.deletedSince('live/job/', 0), undefined, 'not all of them are remembered');
+  const kept = state.cache.deletedSince('live/job/', 4_500) ?? [];
+  assert.ok(kept.length < 2_000);
+  assert.equal(kept.filter((e) => e.version <= 5_000).length, 500);
+  assert.ok(kept.some((e) => e.version === 9_000));
+});
