--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -30,6 +30,7 @@
   readonly #hosts = new Map<string, Host>();
   #rules: ((request: Request) => Fate | undefined)[] = [];
   #held: (() => void)[] = [];
+  #watch: ((request: Request) => (answer: Answer) => void) | undefined;
 
   constructor(private readonly clock: FakeClock) {}
 
@@ -49,6 +50,11 @@
     };
   }
 
+  /** Sees every request when it leaves, and its answer when its sender gets it. */
+  watch(watch: (request: Request) => (answer: Answer) => void): void {
+    this.#watch = watch;
+  }
+
   /** Delivers what was held, in order, though its senders have long given up. */
   release(): number {
     const held = this.#held;
@@ -65,9 +71,12 @@
 
   #call(request: Request, timeoutMs: number): Promise<Answer> {
     return new Promise((resolve, reject) => {
+      const answered = this.#watch?.(request);
+      let over = false;
       const fate = this.#rules.map((rule) => rule(request)).find((f) => f !== undefined) ?? 'deliver';
       const host = this.#hosts.get(request.to);
       const timer = this.clock.after(timeoutMs, () => {
+        over = true;
         reject(new NoAnswer('time is up', host !== undefined && fate !== 'unreachable'));
       });
       if (!host || fate === 'unreachable' || fate === 'lose') return;
@@ -75,7 +84,11 @@
         void Promise.resolve(host(structuredClone(request))).then((answer) => {
           if (fate === 'hold' || fate === 'lose answer') return;
           this.clock.after(LATENCY_MS, () => {
+            // A sender that has given up hears nothing; of a copy's answer neither.
+            if (over) return;
+            over = true;
             this.clock.cancel(timer);
+            answered?.(answer);
             resolve(structuredClone(answer));
           });
         });
--- /dev/null
+++ b/test/fakes/rules.ts
@@ -0,0 +1,368 @@
+import type { Answer } from '../../src/transport/http-client';
+import type { WorldClock } from './clock';
+import type { Request } from './network';
+
+/** A job as its user described it, in the words of the wire, as far as the rules care. */
+export interface Described {
+  crew: string;
+  pieces: number;
+  cpus: number;
+  cards: number;
+  memGb: number;
+  frames?: string[] | null;
+  yard?: string | null;
+  together: boolean;
+  apart: boolean;
+  loaners: boolean;
+}
+
+export interface MachineFacts {
+  frame: string;
+  yard: string;
+  loaners: boolean;
+}
+
+export interface TypeFacts {
+  label: string;
+  cpus: number;
+  cards: number;
+  memGb: number;
+  yards: readonly string[];
+}
+
+interface Record_ {
+  /** What its user submitted first; undefined: nobody has sent a submission that can run. */
+  described: Described | undefined;
+  completed: Set<number>;
+  /** Every answer that said something of the job, with the order of its arrival. */
+  accepted: number | undefined;
+  final: { standing: string; at: number } | undefined;
+  cancelAsked: boolean;
+  /** When a user was first told that it is cancelled. */
+  cancelledAt: number | undefined;
+  answeredAt: number;
+}
+
+type Kind =
+  | 'ran_twice'
+  | 'quota'
+  | 'wrong_place'
+  | 'ran_cancelled'
+  | 'forgotten'
+  | 'invented'
+  | 'not_done'
+  | 'went_back'
+  | 'bad_accepted'
+  | 'waits';
+
+const FIELDS: Record<string, (value: unknown) => boolean> = {
+  nameId: (v) => typeof v === 'string' && /^req-[0-9]+$/.test(v),
+  ...Object.fromEntries(['docket', 'crew', 'build'].map((name) => [name, isText])),
+  shape: (v) => v === 'sweep',
+  urgency: (v) => ['prod', 'urgent', 'normal', 'best_effort'].includes(v as string),
+  pieces: (v) => Number.isInteger(v) && (v as number) >= 1 && (v as number) <= 100_000,
+  ...Object.fromEntries(['cpus', 'cards', 'memGb', 'sizeGb', 'reckonS'].map((name) => [name, isAmount])),
+  ...Object.fromEntries(['bookmarkS', 'stashS'].map((name) => [name, isAmount])),
+  ...Object.fromEntries(['together', 'apart', 'loaners'].map((name) => [name, isFlag])),
+  frames: (v) => v === null || v === undefined || (Array.isArray(v) && v.every(isText)),
+  yard: (v) => v === null || v === undefined || isText(v),
+  dueS: (v) => v === null || v === undefined || isAmount(v),
+};
+
+function isText(value: unknown): boolean {
+  return typeof value === 'string' && value.length > 0;
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function isFlag(value: unknown): boolean {
+  return typeof value === 'boolean';
+}
+
+const jobOf = (piece: string): string => piece.split('/')[0] ?? '';
+
+/**
+ * The rules of the protocol, watched from outside: by what happens on machines, and by every answer that a user gets.
+ * An answer counts from when it arrives, a question from when it was sent: nothing can have gone back but an answer to a
+ * question that was sent after the other answer had come.
+ */
+export class Rules {
+  readonly broken: string[] = [];
+  /** Starts after a confirmed cancellation, within `cancel_s`: no broken rule, yet nothing that ought to be. */
+  readonly startsAfterCancellation: string[] = [];
+  readonly #jobs = new Map<string, Record_>();
+  readonly #on = new Map<string, string>();
+  #order = 0;
+
+  constructor(
+    private readonly clock: WorldClock,
+    private readonly deployment: {
+      cancelS: number;
+      /** CPUs that a team's tasks may use at once; a team without a limit has Infinity. */
+      limits: ReadonlyMap<string, number>;
+      types: readonly TypeFacts[];
+      machine(id: string): MachineFacts | undefined;
+    },
+  ) {}
+
+  /** Where a task is at this moment. */
+  where(piece: string): string | undefined {
+    return this.#on.get(piece);
+  }
+
+  get running(): string[] {
+    return [...this.#on.keys()];
+  }
+
+  /** Jobs that were accepted, are not final, and whose users haven't asked to cancel them. */
+  get unfinished(): string[] {
+    return [...this.#jobs]
+      .filter(([, j]) => j.accepted !== undefined && j.final === undefined && !j.cancelAsked)
+      .map(([id]) => id);
+  }
+
+  /** Every job of which a user was told that it is known. */
+  get accepted(): string[] {
+    return [...this.#jobs].filter(([, j]) => j.accepted !== undefined).map(([id]) => id);
+  }
+
+  described(id: string): Described | undefined {
+    return this.#jobs.get(id)?.described;
+  }
+
+  wasCancelled(id: string): boolean {
+    return this.#jobs.get(id)?.cancelledAt !== undefined;
+  }
+
+  hasCompleted(piece: string): boolean {
+    return this.#jobs.get(jobOf(piece))?.completed.has(Number(piece.split('/')[1])) ?? false;
+  }
+
+  /** When a user was last told something of it; from its first submission on. */
+  answeredAt(id: string): number {
+    return this.#jobs.get(id)?.answeredAt ?? this.clock.now();
+  }
+
+  break(kind: Kind, what: string): void {
+    this.broken.push(`${kind}: ${what} at ${this.clock.now()} ms`);
+  }
+
+  // What happens on machines.
+
+  started(piece: string, machine: string): void {
+    const other = this.#on.get(piece);
+    if (other !== undefined) this.break('ran_twice', `${piece} on ${other} and ${machine}`);
+    this.#on.set(piece, machine);
+    const id = jobOf(piece);
+    const job = this.#jobs.get(id);
+    if (job?.cancelledAt !== undefined) {
+      if (this.clock.now() > job.cancelledAt + this.deployment.cancelS * 1000) {
+        this.break('ran_cancelled', `${piece} starts on ${machine}`);
+      } else {
+        this.startsAfterCancellation.push(`${piece} on ${machine}`);
+      }
+    }
+    if (!job?.described) return;
+    this.#checkPlace(id, job.described, piece, machine);
+    this.#checkLimit(job.described.crew);
+  }
+
+  left(piece: string, machine: string): void {
+    if (this.#on.get(piece) === machine) this.#on.delete(piece);
+  }
+
+  completed(piece: string): void {
+    this.#job(jobOf(piece)).completed.add(Number(piece.split('/')[1]));
+  }
+
+  used(team: string): number {
+    let sum = 0;
+    for (const piece of this.#on.keys()) {
+      const described = this.described(jobOf(piece));
+      if (described?.crew === team) sum += described.cpus;
+    }
+    return sum;
+  }
+
+  limit(team: string): number {
+    return this.deployment.limits.get(team) ?? Infinity;
+  }
+
+  /** What a job's next task would break on this machine. */
+  placeBroken(id: string, machine: string, besides?: string): string | undefined {
+    const job = this.described(id);
+    const facts = this.deployment.machine(machine);
+    if (!job || !facts) return undefined;
+    if (job.frames && !job.frames.includes(facts.frame)) return `type ${facts.frame}`;
+    if (job.yard && job.yard !== facts.yard) return `zone ${facts.yard}`;
+    if (!job.loaners && facts.loaners) return 'a spot machine';
+    const zones = [...this.#on]
+      .filter(([piece]) => jobOf(piece) === id && piece !== besides)
+      .map(([, on]) => this.deployment.machine(on)?.yard);
+    if (job.together && zones.some((zone) => zone !== facts.yard)) return 'not together';
+    const here = zones.filter((zone) => zone === facts.yard).length + 1;
+    if (job.apart && here > Math.ceil(job.pieces / 2)) return `${here} of ${job.pieces} in one zone`;
+    return undefined;
+  }
+
+  #checkPlace(id: string, job: Described, piece: string, machine: string): void {
+    const task = Number(piece.split('/')[1]);
+    if (!(task >= 0 && task < job.pieces)) this.break('wrong_place', `${piece}: no such task`);
+    const why = this.placeBroken(id, machine, piece);
+    if (why !== undefined) this.break('wrong_place', `${piece} on ${machine}: ${why}`);
+  }
+
+  #checkLimit(team: string): void {
+    const used = this.used(team);
+    const limit = this.limit(team);
+    if (used > limit + 1e-9) this.break('quota', `${team} uses ${used} of ${limit}`);
+  }
+
+  // What users send and are told.
+
+  /** A user's request leaves. What is returned is to be called with its answer, when that arrives. */
+  asked(request: Request): (answer: Answer) => void {
+    this.#order += 1;
+    const sent = this.#order;
+    const [, head = '', named = '', verb = ''] = request.path.split('/');
+    if (head !== 'work') return () => undefined;
+    const submits = request.method === 'POST' && named === '';
+    const id = submits ? (request.body as { nameId?: unknown } | null)?.nameId : named;
+    const why = submits ? this.whyNot(request.body) : undefined;
+    if (typeof id !== 'string') {
+      return ({ status }) => {
+        if (status === 200 || status === 201) this.break('bad_accepted', 'a submission without an id');
+      };
+    }
+    const job = this.#job(id);
+    if (submits && why === undefined) job.described ??= request.body as Described;
+    if (verb === 'withdraw') job.cancelAsked = true;
+    return (answer) => {
+      this.#order += 1;
+      if (submits) this.#toldOfSubmission(id, answer, why);
+      this.#told(id, answer, sent, submits && why !== undefined);
+    };
+  }
+
+  #toldOfSubmission(id: string, { status }: Answer, why: string | undefined): void {
+    const job = this.#job(id);
+    const accepts = status === 200 || status === 201;
+    if (accepts && why !== undefined && !job.described) this.break('bad_accepted', `${id}: ${why}`);
+  }
+
+  #told(id: string, { status, body }: Answer, sent: number, mayBeRefused: boolean): void {
+    const job = this.#job(id);
+    const knownBefore = job.accepted !== undefined && job.accepted < sent;
+    if (status === 404 || (!mayBeRefused && (status === 400 || status === 422))) {
+      if (knownBefore) this.break('forgotten', `${id} gets ${status}`);
+      if (job.final && job.final.at < sent)
+        this.break('went_back', `${id}: ${job.final.standing}, then ${status}`);
+      return;
+    }
+    if (status !== 200 && status !== 201) return;
+    job.answeredAt = this.clock.now();
+    const standing = (body as { standing?: string } | null)?.standing ?? '';
+    if (!job.described) this.break('invented', `${id} is ${standing}`);
+    job.accepted ??= this.#order;
+    if (standing === 'done') {
+      const pieces = job.described?.pieces ?? 0;
+      if (job.completed.size < pieces) {
+        this.break('not_done', `${id} is done with ${job.completed.size} of ${pieces} tasks completed`);
+      }
+    }
+    if (standing === 'withdrawn' && !job.cancelAsked) {
+      this.break('went_back', `${id} is withdrawn, though nobody asked for that`);
+    }
+    const isFinal = standing === 'done' || standing === 'withdrawn';
+    const { final } = job;
+    // Of two final states one is wrong, whichever question was sent first.
+    if (final && final.standing !== standing && (isFinal || final.at < sent)) {
+      this.break('went_back', `${id}: ${final.standing}, then ${standing}`);
+    }
+    if (!isFinal || final) return;
+    job.final = { standing, at: this.#order };
+    if (standing === 'withdrawn') this.#toldCancelled(id, job);
+  }
+
+  #toldCancelled(id: string, job: Record_): void {
+    job.cancelledAt = this.clock.now();
+    const { cancelS } = this.deployment;
+    this.clock.after(cancelS * 1000 + 1, () => {
+      for (const [piece, machine] of this.#on) {
+        if (jobOf(piece) === id) this.break('ran_cancelled', `${piece} is on ${machine} after ${cancelS} s`);
+      }
+    });
+  }
+
+  /** Why a submission may not be accepted. */
+  whyNot(body: unknown): string | undefined {
+    if (typeof body !== 'object' || body === null) return 'no map';
+    const map = body as Record<string, unknown>;
+    const wrong = Object.keys(FIELDS).find((name) => FIELDS[name]?.(map[name]) !== true);
+    if (wrong !== undefined) return `${wrong} is missing or invalid`;
+    const job = body as Described;
+    if (!this.deployment.limits.has(job.crew)) return 'unknown team';
+    if (job.cpus > this.limit(job.crew)) return "a task needs more than the team's limit";
+    const fits = this.deployment.types.some(
+      (type) =>
+        (job.frames?.includes(type.label) ?? true) &&
+        (!job.yard || type.yards.includes(job.yard)) &&
+        job.cpus <= type.cpus &&
+        job.cards <= type.cards &&
+        job.memGb <= type.memGb,
+    );
+    return fits ? undefined : 'a task fits no allowed machine type';
+  }
+
+  #job(id: string): Record_ {
+    const known = this.#jobs.get(id);
+    if (known) return known;
+    const job: Record_ = {
+      ...{ described: undefined, completed: new Set<number>(), accepted: undefined, final: undefined },
+      ...{ cancelAsked: false, cancelledAt: undefined, answeredAt: this.clock.now() },
+    };
+    this.#jobs.set(id, job);
+    return job;
+  }
+}
+
+/** How long each unfinished job has waited while something could have been done for it. */
+export class Waits {
+  readonly #since = new Map<string, number>();
+
+  constructor(
+    private readonly rules: Rules,
+    private readonly clock: WorldClock,
+    /** Machines with room for this job's next task, and whether this task is on its way on one of them. */
+    private readonly ground: { hasRoom(id: string): boolean; isOnItsWay(piece: string): boolean },
+  ) {}
+
+  /** To be called about once a second while there is no trouble. */
+  check(): void {
+    const now = this.clock.now();
+    const unfinished = new Set(this.rules.unfinished);
+    for (const id of [...this.#since.keys()]) if (!unfinished.has(id)) this.#since.delete(id);
+    for (const id of unfinished) {
+      const job = this.rules.described(id);
+      if (!job) continue;
+      const waits = Array.from({ length: job.pieces }, (_, task) => `${id}/${task}`).some(
+        (piece) =>
+          !this.rules.hasCompleted(piece) &&
+          this.rules.where(piece) === undefined &&
+          !this.ground.isOnItsWay(piece),
+      );
+      const fits = this.rules.used(job.crew) + job.cpus <= this.rules.limit(job.crew) + 1e-9;
+      if (!waits || !fits || !this.ground.hasRoom(id)) this.#since.delete(id);
+      else if (!this.#since.has(id)) this.#since.set(id, now);
+      const since = this.#since.get(id);
+      if (since !== undefined && now - since > WAIT_MS) {
+        this.rules.break('waits', `${id} waits for ${now - since} ms though there is room`);
+        this.#since.set(id, Infinity);
+      }
+    }
+  }
+}
+
+const WAIT_MS = 90_000;
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,308 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FakeClock } from './fakes/clock';
+import { Rules, Waits } from './fakes/rules';
+import { submission } from './fakes/submission';
+import { World } from './fakes/world';
+
+const MACHINES = new Map([
+  ['m1', { frame: 'm4', yard: 'a', loaners: true }],
+  ['m2', { frame: 'm4', yard: 'a', loaners: true }],
+  ['m3', { frame: 'm4', yard: 'b', loaners: false }],
+]);
+
+class Watched {
+  readonly clock = new FakeClock();
+  readonly rules = new Rules(this.clock, {
+    cancelS: 30,
+    limits: new Map([
+      ['red', 2],
+      ['blue', Infinity],
+    ]),
+    types: [{ label: 'm4', cpus: 4, cards: 0, memGb: 16, yards: ['a', 'b'] }],
+    machine: (id) => MACHINES.get(id),
+  });
+
+  asks(method: string, path: string, body?: unknown): (status: number, standing?: string) => void {
+    const told = this.rules.asked({ from: 'user', to: 'node', method, path, body });
+    return (status, standing) => {
+      told({ status, body: standing === undefined ? null : { standing } });
+    };
+  }
+
+  submit(fields: Record<string, unknown> = {}): void {
+    this.asks('POST', '/work', submission('req-1', fields))(201, 'pending');
+  }
+
+  found(...kinds: string[]): void {
+    assert.deepEqual(
+      this.rules.broken.map((b) => b.split(':')[0]),
+      kinds,
+      this.rules.broken.join(),
+    );
+  }
+}
+
+const poll = ['GET', '/work/req-1'] as const;
+const withdraw = ['POST', '/work/req-1/withdraw'] as const;
+
+test('the rules see tasks that run twice, beyond a limit or where they may not', () => {
+  for (const [fields, starts, kinds] of [
+    [{ pieces: 2 }, ['0 m1', '1 m3'], []],
+    [{}, ['0 m1', '0 m2'], ['ran_twice']],
+    [{ crew: 'red', pieces: 3 }, ['0 m1', '1 m1', '2 m1'], ['quota']],
+    [{ pieces: 1 }, ['1 m1'], ['wrong_place']],
+    [{ frames: ['m8', 'm4'], yard: 'a' }, ['0 m3'], ['wrong_place']],
+    [{ loaners: false }, ['0 m1'], ['wrong_place']],
+    [{ together: true, pieces: 2 }, ['0 m1', '1 m2'], []],
+    [{ together: true, pieces: 2 }, ['0 m1', '1 m3'], ['wrong_place']],
+    [{ apart: true, pieces: 3 }, ['0 m1', '1 m2', '2 m3'], []],
+    [{ apart: true, pieces: 4 }, ['0 m1', '1 m2', '2 m1'], ['wrong_place']],
+  ] as const) {
+    const watched = new Watched();
+    watched.submit(fields);
+    for (const start of starts) {
+      const [task = '', machine = ''] = start.split(' ');
+      watched.rules.started(`req-1/${task}`, machine);
+    }
+    watched.found(...kinds);
+  }
+});
+
+test('the rules see a cancelled task that stays or starts, whoever told of the cancellation', async () => {
+  for (const [method, path, body] of [withdraw, poll, ['POST', '/work', submission('req-1')]] as const) {
+    const watched = new Watched();
+    watched.submit({ pieces: 2 });
+    watched.rules.started('req-1/0', 'm1');
+    const ask = watched.asks(...withdraw);
+    watched.asks(method, path, body)(200, 'withdrawn');
+    ask(503);
+    await watched.clock.advance(29_000);
+    watched.rules.started('req-1/1', 'm1');
+    watched.rules.left('req-1/1', 'm1');
+    watched.found();
+    assert.equal(watched.rules.startsAfterCancellation.length, 1);
+    await watched.clock.advance(1_100);
+    watched.found('ran_cancelled');
+    watched.rules.left('req-1/0', 'm1');
+    watched.rules.started('req-1/1', 'm2');
+    watched.found('ran_cancelled', 'ran_cancelled');
+  }
+});
+
+test('the rules see what is forgotten, invented, called done too soon or something older', () => {
+  const one: [string, (w: Watched) => void, ...string[]][] = [
+    [
+      'unknown',
+      (w) => {
+        w.asks('GET', '/work/req-2')(404);
+      },
+    ],
+    [
+      'invented',
+      (w) => {
+        w.asks('GET', '/work/req-2')(200, 'pending');
+      },
+      'invented',
+    ],
+    [
+      'forgotten',
+      (w) => {
+        w.asks(...poll)(404);
+      },
+      'forgotten',
+    ],
+    [
+      'refused',
+      (w) => {
+        w.asks('POST', '/work', submission('req-1'))(422);
+      },
+      'forgotten',
+    ],
+    [
+      'refused rightly',
+      (w) => {
+        w.asks('POST', '/work', { nameId: 'req-1' })(400);
+      },
+    ],
+    [
+      'too soon',
+      (w) => {
+        w.asks(...poll)(200, 'done');
+      },
+      'not_done',
+    ],
+    [
+      'done',
+      (w) => {
+        w.rules.completed('req-1/0');
+        w.asks(...poll)(200, 'done');
+      },
+    ],
+    [
+      'not asked for',
+      (w) => {
+        w.asks(...poll)(200, 'withdrawn');
+      },
+      'went_back',
+    ],
+    [
+      'back',
+      (w) => {
+        w.asks(...withdraw)(200, 'withdrawn');
+        w.asks(...poll)(200, 'running');
+      },
+      'went_back',
+    ],
+    [
+      'unknown again',
+      (w) => {
+        w.asks(...withdraw)(200, 'withdrawn');
+        w.asks(...poll)(404);
+      },
+      'forgotten',
+      'went_back',
+    ],
+    [
+      'asked before',
+      (w) => {
+        const early = w.asks(...poll);
+        w.asks(...withdraw)(200, 'withdrawn');
+        early(200, 'running');
+      },
+    ],
+    [
+      'both',
+      (w) => {
+        w.rules.completed('req-1/0');
+        const early = w.asks(...poll);
+        w.asks(...withdraw)(200, 'withdrawn');
+        early(200, 'done');
+      },
+      'went_back',
+    ],
+  ];
+  for (const [what, happens, ...kinds] of one) {
+    const watched = new Watched();
+    watched.submit();
+    happens(watched);
+    assert.deepEqual(
+      watched.rules.broken.map((b) => b.split(':')[0]),
+      kinds,
+      what,
+    );
+  }
+});
+
+test('the rules see a submission accepted that lacks a field or can never run', () => {
+  const good = submission('req-1');
+  for (const [fields, isGood] of [
+    [{}, true],
+    [{ frames: undefined, yard: undefined, dueS: undefined }, true],
+    ...Object.keys(good)
+      .filter((name) => !['frames', 'yard', 'dueS'].includes(name))
+      .map((name) => [{ [name]: undefined }, false] as const),
+    [{ crew: 'green' }, false],
+    [{ cpus: 5 }, false],
+    [{ crew: 'red', cpus: 3 }, false],
+    [{ yard: 'c' }, false],
+    [{ frames: ['m8'] }, false],
+  ] as const) {
+    const watched = new Watched();
+    watched.asks('POST', '/work', { ...good, ...fields })(201, 'pending');
+    assert.equal(watched.rules.broken.length === 0, isGood, JSON.stringify(fields));
+  }
+});
+
+test('the rules see a job that waits though there is room, and one that nobody answers for', async () => {
+  for (const [hasRoom, kinds] of [
+    [true, ['waits']],
+    [false, []],
+  ] as const) {
+    const watched = new Watched();
+    watched.submit();
+    const waits = new Waits(watched.rules, watched.clock, {
+      hasRoom: () => hasRoom,
+      isOnItsWay: () => false,
+    });
+    for (let second = 0; second < 92; second += 1) {
+      waits.check();
+      await watched.clock.advance(1000);
+    }
+    watched.found(...kinds);
+  }
+  const world = new World();
+  world.bootMs = 10 ** 6;
+  await world.submit('req-1');
+  for (const index of [0, 1, 2]) world.kill(index);
+  await assert.rejects(world.noJobWaits(), /forgotten/);
+});
+
+test('a machine that goes on after a hang heeds its lease first, then runs the commands that waited', async () => {
+  const world = new World();
+  await world.submit('req-1', {}, 20);
+  await world.until('it runs', () => world.where('req-1/0') !== undefined);
+  const worker = world.worker(world.where('req-1/0') ?? '');
+  const orders = (piece: string): Record<string, unknown> => ({
+    ...{ baton: worker.baton, shift: worker.shift },
+    orders: [{ verb: 'run', piece, try: 7 }],
+  });
+  const post = (body: unknown): void => {
+    world.network
+      .caller('node')
+      .call(worker.address, 'POST', '/do', body, 1000)
+      .catch(() => undefined);
+  };
+  await world.submit('req-2', {}, 20, 1);
+  // Its owner is not to return it meanwhile.
+  world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  worker.hanging = true;
+  post(orders('req-2/0'));
+  await world.clock.advance(5_000);
+  assert.deepEqual(
+    worker.startOrders.filter((o) => o.endsWith('#7')),
+    [],
+  );
+  worker.hanging = false;
+  assert.deepEqual(
+    worker.startOrders.filter((o) => o.endsWith('#7')),
+    ['req-2/0#7'],
+  );
+  worker.hanging = true;
+  post(orders('req-1/0'));
+  await world.clock.advance(12_000);
+  worker.hanging = false;
+  assert.deepEqual(
+    worker.startOrders.filter((o) => o.endsWith('#7')),
+    ['req-2/0#7'],
+  );
+  assert.deepEqual([...worker.pieces.keys()], []);
+});
+
+test('a transaction that comes late is held to the conditions, leases and outages of that moment', async () => {
+  const world = new World();
+  await world.untilOwned();
+  const { state, clock } = world;
+  const txn = (body: unknown): Promise<{ status: number }> =>
+    state.handle({ from: 'x', to: 's', method: 'POST', path: '/txn', body });
+  const late = state.rule(({ from, path }) =>
+    from === 'x' && path === '/txn' ? { lateMs: 3000 } : undefined,
+  );
+  void txn({ guards: [{ path: 'k', stamp: 0 }], apply: [{ set: 'k', data: 1 }] });
+  void txn({ guards: [{ path: 'l', stamp: 0 }], apply: [{ set: 'l', data: 1 }] });
+  void txn({ guards: [], apply: [{ set: 'm', data: 1, hold: 10 ** 6 }] });
+  late();
+  await clock.advance(1000);
+  assert.equal((await txn({ guards: [], apply: [{ set: 'k', data: 2 }] })).status, 200);
+  await clock.advance(3000);
+  assert.deepEqual(
+    ['k', 'l', 'm'].map((key) => state.data.get(key)?.data),
+    [2, 1, undefined],
+  );
+  const lost = state.rule(({ from }) => (from === 'x' ? 'lose answer' : undefined));
+  let answered = false;
+  void txn({ guards: [], apply: [{ delete: 'k' }] }).then(() => (answered = true));
+  await clock.advance(3000);
+  lost();
+  assert.deepEqual([state.data.has('k'), answered], [false, false]);
+});
