--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -75,6 +75,10 @@
     void this.#run();
   }
 
+  get yard(): string {
+    return this.machine.yard;
+  }
+
   get hanging(): boolean {
     return this.#hanging;
   }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -64,6 +64,8 @@
   readonly #facts = new Map<string, JobFacts>();
   /** How long tasks really run, where that is not what their user reckons. */
   readonly #runS = new Map<string, number>();
+  /** Told of every task that completes. */
+  onCompleted: (piece: string) => void = nothing;
   readonly #machineFacts = new Map<string, MachineFacts>();
   readonly #options: { limitCpus?: number; operator?: Record<string, unknown> };
   #names = 0;
@@ -228,10 +230,15 @@
     });
   }
 
+  /** How long a job's tasks will run, to be told before it is submitted. */
+  runS(id: string, runS: number): void {
+    this.#runS.set(id, runS);
+  }
+
   /** Submits a job and has it accepted; what a real user would do on 503 is done here too. */
   async submit(id: string, fields: Record<string, unknown> = {}, runS = 5, index = 0): Promise<void> {
     const job = submission(id, fields);
-    this.#runS.set(id, runS);
+    this.runS(id, runS);
     for (let attempt = 0; attempt < 60; attempt += 1) {
       const { status } = await this.ask(index, 'POST', '/work', job);
       if (status === 201 || status === 200) return;
@@ -432,6 +439,7 @@
           },
           completed: (piece) => {
             this.rules.completed(piece);
+            this.onCompleted(piece);
           },
           hasCompleted: (piece) => this.rules.hasCompleted(piece),
         },
--- /dev/null
+++ b/test/walk-many.ts
@@ -0,0 +1,29 @@
+import { parseArgs } from 'node:util';
+import { Walk } from './walk';
+
+/** Walks over many seeds: `npm run walk -- --seeds 200 --from 1`; with `--first` up to the first that fails. */
+async function main(): Promise<void> {
+  const options = {
+    seeds: { type: 'string', default: '200' },
+    from: { type: 'string', default: '1' },
+  } as const;
+  const { values } = parseArgs({ options });
+  const from = Number(values.from);
+  const failed: number[] = [];
+  let late = 0;
+  for (let seed = from; seed < from + Number(values.seeds); seed += 1) {
+    const walk = new Walk(seed);
+    const broken = await walk.run();
+    late += walk.world.rules.startsAfterCancellation.length;
+    if (broken.length === 0) continue;
+    failed.push(seed);
+    console.log(`seed ${seed}: ${broken.join('; ')}`);
+    if (failed.length === 1) console.log(walk.story());
+    if (values.first) break;
+  }
+  console.log(`${values.seeds} seeds from ${from}: ${failed.length} failed (${failed.join(', ')})`);
+  console.log(`starts after a confirmed cancellation: ${late}`);
+  process.exitCode = failed.length > 0 ? 1 : 0;
+}
+
+void main();
--- /dev/null
+++ b/test/walk.ts
@@ -0,0 +1,518 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Answer } from '../src/transport/http-client';
+import { submission } from './fakes/submission';
+import { World } from './fakes/world';
+
+const MACHINES = 14;
+/** CPUs that team red may use at once. */
+const LIMIT = 6;
+const MOST_TROUBLES = 4;
+const NODES = [0, 1, 2];
+
+interface Trouble {
+  what: string;
+  endsAt: number;
+  end(): void;
+}
+
+/**
+ * Users, machines, state service, controllers and network at their worst, by chance, with every rule watched at every
+ * step; then all troubles end, and what was accepted has to come to its end. The same seed makes the same walk.
+ */
+export class Walk {
+  readonly world = new World({ limitCpus: LIMIT });
+  readonly steps: string[] = [];
+  readonly #random;
+  #troubles: Trouble[] = [];
+  readonly #jobs = new Map<string, Record<string, unknown>>();
+  #number = 0;
+  #isOver = false;
+
+  constructor(
+    readonly seed: number,
+    private readonly troubledMs = 90_000,
+  ) {
+    this.#random = xoroshiro128plus(seed);
+  }
+
+  /** What is wrong in the end: broken rules, and jobs that did not come to an end. */
+  async run(): Promise<string[]> {
+    const { world } = this;
+    const { rules, clock } = world;
+    world.capacity = MACHINES;
+    world.onCompleted = (piece) => {
+      this.#onCompleted(piece);
+    };
+    await world.untilOwned();
+    const end = clock.now() + this.troubledMs;
+    while (clock.now() < end && rules.broken.length === 0) {
+      await clock.advance(this.#chance(0.4) ? this.#from(1, 60) : this.#from(100, 900));
+      this.#endTroubles((trouble) => trouble.endsAt <= clock.now());
+      this.#rentable();
+      if (this.#chance(0.7)) this.#userActs();
+      if (this.#chance(0.2) && this.#troubles.length < MOST_TROUBLES) this.#troubleBegins();
+    }
+    if (rules.broken.length > 0) return rules.broken;
+    this.#note('all troubles end');
+    this.#isOver = true;
+    this.#endTroubles(() => true);
+    for (const index of NODES) if (!world.controllers[index]?.alive) world.restart(index);
+    world.capacity = MACHINES;
+    await this.#comesToAnEnd();
+    return rules.broken;
+  }
+
+  /** What happened, and how to see it again. */
+  story(): string {
+    const again = `npm run walk -- --seeds 1 --from ${this.seed}`;
+    return [`seed ${this.seed}`, ...this.steps, ...this.world.rules.broken, `again: ${again}`].join('\n');
+  }
+
+  async #comesToAnEnd(): Promise<void> {
+    const { world } = this;
+    const { rules, clock } = world;
+    // A user whose cancellation came before the job was known asks again.
+    for (const id of rules.accepted) {
+      if (rules.finalState(id) === undefined && !rules.unfinished.includes(id)) this.#cancels(id);
+    }
+    await world.noJobWaits(300).catch(() => undefined);
+    // Users whose cancellation got no answer go on asking; and what was cancelled last has to be gone by now.
+    await clock.advance(40_000);
+    for (const id of rules.accepted) {
+      for (const index of NODES) void this.#ask(index, 'GET', `/work/${id}`);
+      void this.#ask(0, 'POST', '/work', this.#jobs.get(id));
+      await clock.advance(20);
+    }
+    await clock.advance(6_000);
+    for (const id of rules.accepted) {
+      if (rules.finalState(id) === undefined) rules.break('waits', `${id} comes to no end`);
+    }
+  }
+
+  // Chance.
+
+  #from(least: number, most: number): number {
+    return uniformInt(this.#random, least, most);
+  }
+
+  #chance(share: number): boolean {
+    return this.#from(0, 9999) < share * 10_000;
+  }
+
+  #one<T>(of: readonly T[]): T | undefined {
+    return of.length === 0 ? undefined : of[this.#from(0, of.length - 1)];
+  }
+
+  #node(): number {
+    return this.#one(NODES.filter((index) => this.world.controllers[index]?.alive)) ?? 0;
+  }
+
+  #note(what: string): void {
+    this.steps.push(`${(this.world.clock.now() / 1000).toFixed(3)} s: ${what}`);
+  }
+
+  /** The cloud has as many machines as before, whatever became of those that were rented. */
+  #rentable(): void {
+    const rented = [...this.world.workers.values()].filter((w) => !w.gone).length;
+    this.world.capacity = Math.max(0, MACHINES - rented);
+  }
+
+  // Users.
+
+  #userActs(): void {
+    const id = this.#one([...this.#jobs.keys()]);
+    const kind = this.#from(0, 99);
+    if (id === undefined || kind < 25) this.#submits();
+    else if (kind < 60) this.#looks(id, this.#chance(0.3));
+    else if (kind < 70) {
+      this.#note(`${id} is submitted again`);
+      void this.#ask(this.#node(), 'POST', '/work', this.#jobs.get(id));
+    } else if (kind < 82) this.#cancels(id);
+    else if (kind < 88) this.#cancelsRunning(this.#from(1, 3));
+    else if (kind < 92) this.#odd(id);
+  }
+
+  async #ask(index: number, method: string, path: string, body?: unknown): Promise<Answer | undefined> {
+    const address = this.world.controllers[index]?.address ?? '';
+    const answered = this.world.network.caller('user').call(address, method, path, body, 5000);
+    return answered.catch(() => undefined);
+  }
+
+  /** As users do, again and again until there is an answer that settles it; true if there is one. */
+  async #insist(method: string, path: string, body?: unknown): Promise<boolean> {
+    for (let attempt = 0; attempt < 60; attempt += 1) {
+      const answer = await this.#ask(this.#node(), method, path, body);
+      const status = answer?.status ?? 0;
+      if (status === 200 || status === 201) return true;
+      if ([400, 404, 422].includes(status)) return false;
+      await this.world.clock.sleep(1000);
+    }
+    return false;
+  }
+
+  #submits(): void {
+    this.#number += 1;
+    const id = `req-${this.#number}`;
+    const shape = this.#one(['together', 'apart', 'any', 'any', 'any']);
+    const checkpoints = this.#chance(0.4);
+    const fields = {
+      ...{ pieces: this.#from(1, 4), cpus: this.#from(1, 2), crew: this.#one(['red', 'blue']) },
+      ...{ yard: this.#one(['a', 'b', null, null, null]), loaners: this.#chance(0.7) },
+      ...{ together: shape === 'together', apart: shape === 'apart' },
+      ...{ urgency: this.#one(['prod', 'urgent', 'normal', 'best_effort']), reckonS: this.#from(1, 30) },
+      ...{ bookmarkS: checkpoints ? 2 : 0, stashS: checkpoints ? this.#from(0, 3) : 0 },
+    };
+    const job = submission(id, fields);
+    this.#jobs.set(id, job);
+    const isLong = this.#chance(0.3);
+    this.world.runS(id, isLong ? this.#from(30, 60) : this.#from(1, 10));
+    this.#note(`${id} is submitted: ${JSON.stringify(fields)}`);
+    const cancelsSoon = this.#chance(0.25);
+    const afterMs = this.#from(0, 15_000);
+    void this.#insist('POST', '/work', job).then((isAccepted) => {
+      if (!isAccepted || this.#isOver) return;
+      this.#looks(id, true);
+      if (cancelsSoon)
+        this.world.clock.after(afterMs, () => {
+          this.#cancels(id);
+        });
+    });
+  }
+
+  #looks(id: string, everywhere: boolean): void {
+    const nodes = everywhere ? NODES : [this.#node()];
+    for (const index of nodes) void this.#ask(index, 'GET', `/work/${id}`);
+    if (everywhere) void this.#ask(this.#node(), 'POST', '/work', this.#jobs.get(id));
+  }
+
+  #cancels(id: string): void {
+    this.#note(`${id} is cancelled`);
+    void this.#insist('POST', `/work/${id}/withdraw`).then(() => {
+      if (!this.#isOver) this.#looks(id, true);
+    });
+  }
+
+  #cancelsRunning(most: number): void {
+    const running = new Set(this.world.running.map((piece) => piece.split('/')[0] ?? ''));
+    for (const id of [...running].slice(0, most)) this.#cancels(id);
+  }
+
+  #onCompleted(piece: string): void {
+    const id = piece.split('/')[0] ?? '';
+    if (this.#isOver) return;
+    if (this.#chance(0.1))
+      this.world.clock.after(this.#from(0, 900), () => {
+        this.#cancels(id);
+      });
+    if (this.#chance(0.2))
+      this.world.clock.after(this.#from(0, 900), () => {
+        this.#looks(id, true);
+      });
+  }
+
+  #odd(id: string): void {
+    const unknown = `req-${this.#from(100_000, 200_000)}`;
+    const kind = this.#from(0, 3);
+    if (kind === 0) void this.#ask(this.#node(), 'GET', `/work/${unknown}`);
+    else if (kind === 1) void this.#ask(this.#node(), 'POST', `/work/${unknown}/withdraw`);
+    else {
+      const lacking = this.#one(Object.keys(this.#jobs.get(id) ?? {})) ?? '';
+      const bad = submission(unknown, kind === 2 ? { [lacking]: undefined } : { cpus: 5 });
+      if (this.world.rules.whyNot(bad) === undefined) return;
+      this.#note(`an odd submission without ${lacking}`);
+      void this.#ask(this.#node(), 'POST', '/work', bad);
+    }
+  }
+
+  // Troubles.
+
+  #endTroubles(isMeant: (trouble: Trouble) => boolean): void {
+    const ending = this.#troubles.filter(isMeant);
+    this.#troubles = this.#troubles.filter((trouble) => !ending.includes(trouble));
+    for (const trouble of ending) {
+      this.#note(`ends: ${trouble.what}`);
+      trouble.end();
+    }
+  }
+
+  #lasts(what: string, forMs: number, end: () => void): void {
+    this.#note(`${what} for ${forMs} ms`);
+    this.#troubles.push({ what, endsAt: this.world.clock.now() + forMs, end });
+  }
+
+  #troubleBegins(): void {
+    const kinds = [
+      () => {
+        this.#machineTrouble();
+      },
+      () => {
+        this.#machineTrouble();
+      },
+      () => {
+        this.#stateTrouble();
+      },
+      () => {
+        this.#stateTrouble();
+      },
+      () => {
+        this.#controllerEnds();
+      },
+      () => {
+        this.#controllerEnds();
+      },
+      () => {
+        this.#controllerCut();
+      },
+      () => {
+        this.#lateReports();
+      },
+      () => {
+        this.#heldCommands();
+      },
+      () => {
+        this.#meeting();
+      },
+    ];
+    this.#one(kinds)?.();
+  }
+
+  /** Mostly one that runs tasks. */
+  #machine(): string | undefined {
+    const up = [...this.world.workers.values()].filter((w) => w.isUp && !w.hanging);
+    const busy = up.filter((w) => w.pieces.size > 0);
+    return this.#one(busy.length > 0 && this.#chance(0.8) ? busy : up)?.id;
+  }
+
+  #machineTrouble(): void {
+    const id = this.#machine();
+    if (id === undefined) return;
+    const { world } = this;
+    const forMs = this.#chance(0.5) ? this.#from(300, 9_000) : this.#from(9_000, 30_000);
+    const kind = this.#from(0, 6);
+    if (kind === 0) this.#hangs(id, forMs);
+    else if (kind === 1) this.#lasts(`${id} is deaf`, forMs, world.deafen(id));
+    else if (kind === 2) this.#lasts(`${id} is mute`, forMs, world.silence(id));
+    else if (kind === 3) this.#lasts(`${id} is cut off`, forMs, world.cutOff(id));
+    else if (kind === 4) {
+      this.#note(`${id} dies`);
+      world.worker(id).vanish();
+    } else if (kind === 5) {
+      const worker = world.worker(id);
+      worker.warningS = 8;
+      this.#lasts(`${id} is to be taken`, 8000, () => {
+        worker.vanish();
+      });
+    } else {
+      const bootMs = this.#from(300, 2000);
+      this.#lasts(`new machines are up after ${bootMs} ms`, forMs, () => {
+        world.bootMs = 3000;
+      });
+      world.bootMs = bootMs;
+    }
+  }
+
+  #hangs(id: string, forMs: number): void {
+    const worker = this.world.worker(id);
+    worker.hanging = true;
+    this.#lasts(`${id} hangs`, forMs, () => {
+      worker.hanging = false;
+    });
+  }
+
+  #isTxn(path: string, share: number): boolean {
+    return path === '/txn' && this.#chance(share);
+  }
+
+  #stateTrouble(): void {
+    const { state } = this.world;
+    const forMs = this.#from(1_000, 15_000);
+    const share = this.#one([0.1, 0.3, 1]) ?? 0;
+    const kind = this.#from(0, 5);
+    if (kind === 0) {
+      const rule = state.rule(({ path }) =>
+        this.#isTxn(path, share) ? { lateMs: this.#from(2_000, 12_000) } : undefined,
+      );
+      this.#lasts(`transactions come late: ${share}`, forMs, rule);
+    } else if (kind === 1) {
+      const rule = state.rule(({ path }) => (this.#isTxn(path, share) ? 'lose answer' : undefined));
+      this.#lasts(`transactions get no answer: ${share}`, forMs, rule);
+    } else if (kind === 2) {
+      const rule = state.rule(() => (this.#chance(share) ? { slowMs: this.#from(50, 1_600) } : undefined));
+      this.#lasts(`the state service is slow: ${share}`, forMs, rule);
+    } else if (kind === 3) this.#refused(this.#chance(0.7) ? this.#leader() : this.#node(), forMs);
+    else if (kind === 4) this.#outage(this.#chance(0.5) ? forMs : this.#from(20_000, 45_000));
+    else {
+      const name = `node-${this.#node()}`;
+      const rule = state.rule(({ from, path }) =>
+        from === name && this.#isTxn(path, share) ? { lateMs: this.#from(2_000, 12_000) } : undefined,
+      );
+      this.#lasts(`transactions of ${name} come late: ${share}`, forMs, rule);
+    }
+  }
+
+  #leader(): number {
+    return this.world.owner >= 0 ? this.world.owner : this.#node();
+  }
+
+  #refused(index: number, forMs: number): void {
+    const name = `node-${index}`;
+    if (this.world.state.refused.has(name)) return;
+    this.world.state.refused.add(name);
+    this.#lasts(`${name} is refused`, forMs, () => this.world.state.refused.delete(name));
+  }
+
+  #outage(forMs: number): void {
+    const { state } = this.world;
+    if (state.refused.has('*')) return;
+    state.outage(true);
+    this.#lasts('outage', forMs, () => {
+      state.outage(false);
+    });
+  }
+
+  #kills(index: number, forMs: number): void {
+    const { world } = this;
+    if (!world.controllers[index]?.alive) return;
+    world.kill(index);
+    this.#lasts(`node-${index} is killed`, forMs, () => {
+      if (!world.controllers[index]?.alive) world.restart(index);
+    });
+  }
+
+  #controllerEnds(): void {
+    const kind = this.#from(0, 6);
+    const forMs = this.#chance(0.5) ? this.#from(50, 1_000) : this.#from(1_000, 20_000);
+    if (kind < 3) this.#kills(this.#leader(), forMs);
+    else if (kind < 4) this.#kills(this.#node(), forMs);
+    else if (kind < 5) for (const index of NODES) this.#kills(index, forMs + this.#from(0, 12_000));
+    else {
+      const index = this.#leader();
+      if (!this.world.controllers[index]?.alive) return;
+      this.#lasts(`node-${index} stands still`, forMs, this.world.freeze(index));
+    }
+  }
+
+  #controllerCut(): void {
+    const { world } = this;
+    const forMs = this.#from(1_000, 30_000);
+    const index = this.#chance(0.7) ? this.#leader() : this.#node();
+    const name = `node-${index}`;
+    const kind = this.#from(0, 3);
+    if (kind === 0) {
+      const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
+      for (const pair of pairs) world.apart.add(pair);
+      this.#lasts(`${name} hears no other`, forMs, () => {
+        for (const pair of pairs) world.apart.delete(pair);
+      });
+    } else if (kind === 1) this.#cutFromState(index, forMs);
+    else {
+      // A zone: half of the machines, and one controller.
+      const cut = world.network.rule(({ from, to }) => {
+        const ends = [this.#isBeyond(from, index), this.#isBeyond(to, index)];
+        return ends.includes(true) && ends.includes(false) ? 'lose' : undefined;
+      });
+      const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
+      for (const pair of pairs) world.apart.add(pair);
+      this.#lasts(`zone b is cut off with ${name}`, forMs, () => {
+        cut();
+        for (const pair of pairs) world.apart.delete(pair);
+      });
+    }
+  }
+
+  /** Undefined: in no zone. */
+  #isBeyond(end: string, index: number): boolean | undefined {
+    const controller = this.world.controllers.findIndex((c) => c.name === end || c.address === end);
+    if (controller >= 0) return controller === index;
+    const worker = [...this.world.workers.values()].find((w) => w.id === end || w.address === end);
+    return worker && worker.yard === 'b';
+  }
+
+  #cutFromState(index: number, forMs: number): void {
+    const { world } = this;
+    const name = `node-${index}`;
+    const cut = world.network.rule(({ from, to }) =>
+      from === name && to.startsWith('10.2.') ? 'lose' : undefined,
+    );
+    const pairs = NODES.filter((other) => other !== index).map((other) => `${name}|node-${other}`);
+    for (const pair of pairs) world.apart.add(pair);
+    this.#lasts(`${name} is cut from state service, cloud and peers`, forMs, () => {
+      cut();
+      for (const pair of pairs) world.apart.delete(pair);
+    });
+  }
+
+  #lateReports(): void {
+    const { world } = this;
+    const share = this.#one([0.2, 1]) ?? 0;
+    const forMs = this.#from(1_000, 8_000);
+    const copies = world.copyReports(() => this.#chance(share));
+    const afterMs = this.#from(2_000, 25_000);
+    const forNext = this.#chance(0.5);
+    const old = world.owner;
+    const arrive = (patience: number): void => {
+      if (this.#isOver) return;
+      if (forNext && patience > 0 && (world.owner === old || world.owner < 0)) {
+        world.clock.after(50, () => {
+          arrive(patience - 1);
+        });
+        return;
+      }
+      this.#note('old reports arrive');
+      for (const index of NODES) if (world.controllers[index]?.alive) copies.arrive(index);
+    };
+    this.#lasts(`reports are copied: ${share}`, forMs, () => {
+      copies.stop();
+      world.clock.after(forNext ? 0 : afterMs, () => {
+        arrive(600);
+      });
+    });
+  }
+
+  #heldCommands(): void {
+    const { network } = this.world;
+    const share = this.#one([0.3, 1]) ?? 0;
+    const fate = this.#one(['hold', 'copy', 'lose answer'] as const);
+    const rule = network.rule(({ path }) => (path === '/do' && this.#chance(share) ? fate : undefined));
+    this.#lasts(`commands: ${fate} ${share}`, this.#from(500, 9_000), () => {
+      rule();
+      network.release();
+    });
+  }
+
+  /** Troubles that meet, as the hunts have them. */
+  #meeting(): void {
+    const leader = this.#leader();
+    const kind = this.#from(0, 4);
+    this.#note(`meeting ${kind}`);
+    if (kind === 0) {
+      this.#refused(leader, 1_500);
+      this.#cancelsRunning(3);
+      this.world.clock.after(1_000, () => {
+        if (!this.#isOver) this.#outage(40_000);
+      });
+    } else if (kind === 1) {
+      this.#cutFromState(leader, this.#from(5_000, 25_000));
+      this.world.clock.after(this.#from(0, 4_000), () => {
+        this.#cancelsRunning(3);
+      });
+    } else if (kind === 2) {
+      const used = [...new Set(this.world.running.map((piece) => this.world.where(piece) ?? ''))];
+      this.#cancelsRunning(4);
+      for (const id of used.slice(0, 3)) this.#hangs(id, this.#from(3_000, 9_500));
+      this.#kills(leader, this.#from(100, 8_000));
+    } else if (kind === 3) {
+      this.#outage(this.#from(10_000, 40_000));
+      this.world.clock.after(this.#from(0, 3_000), () => {
+        if (!this.#isOver) this.#kills(leader, 500);
+      });
+    } else {
+      const id = this.#machine();
+      if (id === undefined) return;
+      this.#lasts(`${id} is deaf`, 20_000, this.world.deafen(id));
+      this.#kills(leader, this.#from(200, 15_000));
+      this.#cancelsRunning(2);
+    }
+  }
+}
