--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -81,6 +81,8 @@
       });
       if (!host || fate === 'unreachable' || fate === 'lose') return;
       const deliver = (): void => {
+        // Nothing reaches who is gone, nor who came up at the same address since.
+        if (this.#hosts.get(request.to) !== host) return;
         void Promise.resolve(host(structuredClone(request))).then((answer) => {
           if (fate === 'hold' || fate === 'lose answer') return;
           this.clock.after(LATENCY_MS, () => {
--- a/test/walk-many.ts
+++ b/test/walk-many.ts
@@ -6,6 +6,7 @@
   const options = {
     seeds: { type: 'string', default: '200' },
     from: { type: 'string', default: '1' },
+    first: { type: 'boolean', default: false },
   } as const;
   const { values } = parseArgs({ options });
   const from = Number(values.from);
