--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { createRoutes } from '../src/coordination/routes';
+import { codec } from '../src/protocol/codec';
 import type { Answer } from '../src/transport/http-client';
 import type { Request } from './fakes/network';
 import { submission } from './fakes/submission';
@@ -293,6 +295,18 @@
     assert.equal(await world.standing('req-2', index), 503);
     assert.equal((await world.ask(index, 'POST', '/work/req-2/withdraw')).status, 503);
   }
+  // And each is told when to come back.
+  const { node } = world.controllers[0] ?? assert.fail();
+  const none = (): void => undefined;
+  const log = { error: none, warn: none, info: none, debug: none };
+  const body = codec.encode(submission('req-2', { pieces: 2 }));
+  for (const route of createRoutes(node, log).filter((r) => r.use === 'users')) {
+    const reply = Promise.resolve(route.handle({ params: { id: 'req-2' }, body }));
+    await world.clock.advance(2000);
+    const { status, retryAfterS } = await reply;
+    assert.equal(status, 503, route.url);
+    assert.ok(retryAfterS !== undefined && retryAfterS >= 1 && retryAfterS <= 30, route.url);
+  }
   world.noRuleBroken();
 });
 
