--- /dev/null
+++ b/src/bookkeeping/format-gate.ts
@@ -0,0 +1,59 @@
+import type { StateStore } from '../protocol/state';
+import { KEY, read, RECORD_FORMAT } from './records';
+import type { WatchCache } from './watch-cache';
+
+/**
+ * Decides when records that the previous version can't read may be written. Every controller leaves a durable mark of
+ * the record format that it understands; the gate is open once the marks of all controllers named in the settings are
+ * there. Marks are never deleted and no lease holds them, so an open gate stays open, whoever restarts.
+ */
+export class FormatGate {
+  #isOpen = false;
+
+  constructor(
+    private readonly node: string,
+    private readonly controllers: readonly string[],
+    private readonly store: StateStore,
+    private readonly cache: WatchCache,
+  ) {}
+
+  /** Whether every controller understands the present format, as far as this node's copy of the records tells. */
+  get isOpen(): boolean {
+    this.#isOpen ||= this.missing().length === 0;
+    return this.#isOpen;
+  }
+
+  /** Controllers that have not shown that they understand the present format. */
+  missing(): string[] {
+    return this.controllers.filter((name) => !understands(this.cache.get(KEY.format(name))?.value));
+  }
+
+  /** The same by the state service's word: the copy may lag behind a mark that was written a moment ago. */
+  async confirmOpen(): Promise<boolean> {
+    if (this.isOpen) return true;
+    for (const name of this.missing()) {
+      const entry = await this.store.get(KEY.format(name));
+      if (!understands(entry?.value)) return false;
+    }
+    this.#isOpen = true;
+    return true;
+  }
+
+  /** Writes this controller's mark, unless it is there. True: it is there now. */
+  async mark(): Promise<boolean> {
+    const key = KEY.format(this.node);
+    const entry = await this.store.get(key);
+    if (understands(entry?.value)) return true;
+    // Guarded, so that a write carried out late can't replace the mark of a newer version.
+    const result = await this.store.txn(
+      [{ key, version: entry?.version ?? 0 }],
+      [{ put: key, value: { format: RECORD_FORMAT } }],
+      true,
+    );
+    return result.ok;
+  }
+}
+
+function understands(value: unknown): boolean {
+  return (read.format(value)?.format ?? 0) >= RECORD_FORMAT;
+}
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -6,11 +6,18 @@
  * final states lie apart and are read when asked for, so that what a node holds stays small.
  */
 export const LIVE = 'live/';
+/**
+ * The format that this version writes and understands. Format 1, which left no mark, knows neither dependencies nor
+ * completions in small parts (docs/UPGRADE.md).
+ */
+export const RECORD_FORMAT = 2;
 export const KEY = {
   leader: 'live/leader',
   baton: 'live/baton',
   types: 'live/types',
   node: (node: string) => `live/node/${node}`,
+  /** The record format that a controller understands; durable, see `FormatGate`. */
+  format: (node: string) => `live/format/${node}`,
   block: (block: number) => `live/block/${block}`,
   lease: (block: number) => `live/lease/${block}`,
   machine: (id: string) => `live/machine/${id}`,
@@ -31,6 +38,7 @@
 const count = z.int().min(0);
 
 const nodeRecord = z.object({ lease: z.int() });
+const formatRecord = z.object({ format: z.int().min(1) });
 const leaderRecord = z.object({ node: z.string() });
 const batonRecord = z.object({ next: count });
 const blockRecord = z.object({
@@ -92,6 +100,7 @@
 
 export const read = {
   node: reader(nodeRecord),
+  format: reader(formatRecord),
   leader: reader(leaderRecord),
   baton: reader(batonRecord),
   block: reader(blockRecord),
--- a/src/coordination/deps.ts
+++ b/src/coordination/deps.ts
@@ -3,6 +3,7 @@
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import type { FormatGate } from '../bookkeeping/format-gate';
 import type { EndedJobs } from '../bookkeeping/ended-jobs';
 import type { JobStore } from '../bookkeeping/job-store';
 import type { Session } from '../bookkeeping/session';
@@ -22,6 +23,7 @@
   readonly lag: Lag;
   readonly store: StateStore;
   readonly cache: WatchCache;
+  readonly formatGate: FormatGate;
   readonly session: Session;
   readonly jobs: JobStore;
   readonly ended: EndedJobs;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -5,6 +5,7 @@
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
 import { blockCount } from '../bookkeeping/block-count';
+import { FormatGate } from '../bookkeeping/format-gate';
 import { EndedJobs } from '../bookkeeping/ended-jobs';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
@@ -53,6 +54,9 @@
 /** How far apart nodes may notice the same outage: their watches' ends, and the pace at which they speak. */
 const NOTICE_SPREAD_MS = 2_500;
 const PEER_MEMORY_MS = 3_500;
+/** A mark that is there stays there; it is looked at again only to be safe against an operator's mistake. */
+const FORMAT_CHECK_MS = 600_000;
+const FORMAT_RETRY_MS = 300;
 const MAX_PROGRESS = 2_000;
 
 export type ReportAnswer = OwnAnswer | { kind: 'elsewhere'; owner: string | undefined };
@@ -109,7 +113,9 @@
       outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
     };
     this.jobs = new JobStore(stateStore, clock, announce);
+    const controllers = [platform.node, ...platform.others.map((other) => other.node)];
     this.#deps = {
+      formatGate: new FormatGate(platform.node, controllers, stateStore, this.#cache),
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
       lag: new Lag(clock),
       ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
@@ -144,6 +150,7 @@
     };
     loop('lag', () => this.#deps.lag.step(signal));
     loop('watch', () => this.#cache.step(), 300);
+    loop('format mark', () => this.#markFormat(signal), 300);
     loop('session', () => this.#session.step(signal), 300);
     loop('leader', async () => {
       await this.#leaderWake.wait(LEADER_PAUSE_MS);
@@ -373,6 +380,11 @@
     );
   }
 
+  async #markFormat(signal: AbortSignal): Promise<void> {
+    const isMarked = await this.#deps.formatGate.mark();
+    await this.outside.clock.sleep(isMarked ? FORMAT_CHECK_MS : FORMAT_RETRY_MS, signal);
+  }
+
   async #refreshTypes(signal: AbortSignal): Promise<void> {
     const { cache, store, clock, cloud } = this.#deps;
     if (!cache.loaded) {
