Chained jobs work: acceptance, start after all dependencies, cancellation of dependents

A job may name jobs that have to be done before it starts. One predicate, asked where attempts are issued, lets it start: the state service has told that every dependency is done. A job is cancelled when one that it needs is cancelled; whoever asks after it writes that first. Priorities and deadlines go from the last jobs of a chain to those that they need.

--- /dev/null
+++ b/src/bookkeeping/dependency-tracker.ts
@@ -0,0 +1,151 @@
+import { Wake, type Clock } from '../base/clock';
+import type { Event } from '../protocol/state';
+import { NoAnswer } from '../transport/http-client';
+import { recordedDependencies } from './dependency-records';
+import type { FinalStates } from './final-states';
+import { JobGraph } from './job-graph';
+import { KEY, PREFIX, read } from './records';
+import type { WatchCache } from './watch-cache';
+
+/** How often outcomes that could not be read are asked for again. */
+const RETRY_MS = 500;
+const READS_AT_ONCE = 8;
+/**
+ * How old this node's copy of the records may be for it to say that no job before another was cancelled. It is far
+ * below the bound on cancellations, and far above what a watch takes.
+ */
+const MAX_VIEW_AGE_MS = 5_000;
+
+/** Told of jobs whose last dependency is now known to be done. */
+type ReadyListener = (jobs: readonly string[]) => void;
+
+/**
+ * Keeps the job graph in step with the records: live jobs come from the watched copy; the outcome of a dependency whose
+ * live record is gone is read from the state service. A dependency counts as done by the state service's word only:
+ * while its outcome is unknown, what needs it waits.
+ */
+export class DependencyTracker {
+  readonly graph = new JobGraph();
+  readonly #readyListeners: ReadyListener[] = [];
+  /** Dependencies that are not live in the copy and whose outcome isn't known. */
+  readonly #unread = new Set<string>();
+  /** Jobs whose list of dependencies is stored in parts that the copy lacks. */
+  readonly #incomplete = new Set<string>();
+  readonly #wake: Wake;
+
+  constructor(
+    private readonly cache: WatchCache,
+    private readonly finals: FinalStates,
+    private readonly clock: Clock,
+  ) {
+    this.#wake = new Wake(clock);
+    cache.onChange((event) => {
+      this.#onChange(event);
+    });
+    finals.onLearned(({ id, state, endedAt }) => {
+      this.#unread.delete(id);
+      const ready = this.graph.settle(id, { state, endedAt });
+      if (ready.length > 0) for (const listener of this.#readyListeners) listener(ready);
+    });
+  }
+
+  onReady(listener: ReadyListener): void {
+    this.#readyListeners.push(listener);
+  }
+
+  /** Whether the state service has acknowledged that all dependencies of a live job are done. */
+  isReady(id: string): boolean {
+    return this.graph.isReady(id);
+  }
+
+  /** Whether a job that this one needs is live in this node's copy: nobody can have started it before that copy. */
+  waitsForLiveJob(id: string): boolean {
+    return this.graph.dependenciesOf(id).some((dependency) => this.cache.get(KEY.job(dependency)));
+  }
+
+  /** What a job still waits for, as far as is known here. */
+  unfinishedDependencies(id: string): string[] {
+    return this.graph
+      .dependenciesOf(id)
+      .filter((dependency) => this.graph.outcome(dependency)?.state !== 'done');
+  }
+
+  /**
+   * Whether a job that this one needs, directly or through others, is cancelled. Throws where this node can't tell:
+   * its copy of the records is too old, or an outcome can't be read.
+   */
+  async isCondemned(id: string): Promise<boolean> {
+    if (this.graph.isCondemned(id)) return true;
+    if (this.graph.isReady(id)) return false;
+    if (this.clock.now() - this.cache.freshAt > MAX_VIEW_AGE_MS) {
+      throw new NoAnswer(`what ${id} waits for is not known here at present`, false);
+    }
+    if (this.#unread.size > 0) await this.#readAncestors(id);
+    return this.graph.isCondemned(id);
+  }
+
+  async #readAncestors(id: string): Promise<void> {
+    for (const ancestor of this.graph.unfinishedAncestors(id)) {
+      if (this.#unread.has(ancestor)) await this.finals.read(ancestor);
+    }
+  }
+
+  #onChange({ key, value, deleted }: Event): void {
+    if (key.startsWith(PREFIX.dependencyPart)) {
+      if (!deleted) this.#addIncomplete(key);
+    } else if (key.startsWith(PREFIX.job)) {
+      const id = key.slice(PREFIX.job.length);
+      if (deleted) this.#remove(id);
+      else this.#add(id, value);
+    }
+  }
+
+  #addIncomplete(partKey: string): void {
+    const id = partKey.slice(PREFIX.dependencyPart.length, partKey.lastIndexOf('/'));
+    if (this.#incomplete.has(id)) this.#add(id, this.cache.get(KEY.job(id))?.value);
+  }
+
+  #add(id: string, value: unknown): void {
+    this.#unread.delete(id);
+    const record = read.job(value);
+    if (!record) return;
+    const dependencies = recordedDependencies(record, this.cache);
+    if (dependencies === undefined) {
+      this.#incomplete.add(id);
+      return;
+    }
+    this.#incomplete.delete(id);
+    if (dependencies.length === 0) return;
+    this.graph.add(id, dependencies);
+    for (const dependency of dependencies) this.#addDependency(dependency);
+  }
+
+  #addDependency(id: string): void {
+    const known = this.finals.known(id);
+    if (known) this.graph.settle(id, known);
+    else if (!this.cache.get(KEY.job(id))) this.#mustRead(id);
+  }
+
+  #remove(id: string): void {
+    this.#incomplete.delete(id);
+    this.graph.remove(id);
+    if (this.graph.isDependency(id) && !this.graph.outcome(id)) this.#mustRead(id);
+  }
+
+  #mustRead(id: string): void {
+    this.#unread.add(id);
+    this.#wake.wake();
+  }
+
+  /** One step: reads outcomes that became due. To be run in a loop. */
+  async step(): Promise<void> {
+    await this.#wake.wait(RETRY_MS);
+    // While the copy is being loaded, a dependency may seem gone that merely has not come yet.
+    if (!this.cache.loaded) return;
+    for (const id of [...this.#unread]) if (!this.graph.isDependency(id)) this.#unread.delete(id);
+    const due = [...this.#unread];
+    for (let from = 0; from < due.length; from += READS_AT_ONCE) {
+      await Promise.all(due.slice(from, from + READS_AT_ONCE).map((id) => this.finals.read(id)));
+    }
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/dependent-cancellation.ts
@@ -0,0 +1,91 @@
+import { Wake, type Clock } from '../base/clock';
+import type { Event, StateStore } from '../protocol/state';
+import type { DependencyTracker } from './dependency-tracker';
+import type { JobStore } from './job-store';
+import { KEY, type FinalRecord } from './records';
+import type { WatchCache } from './watch-cache';
+
+/** Each cancelled job takes two changes: its final state, and its live record. */
+const CHANGES_PER_JOB = 2;
+const CHECK_MS = 1_000;
+
+interface Cancellation {
+  readonly id: string;
+  readonly version: number;
+  readonly final: FinalRecord;
+}
+
+/** What this work needs. */
+export interface CancellationContext {
+  readonly store: StateStore;
+  readonly cache: WatchCache;
+  readonly clock: Clock;
+  readonly jobs: JobStore;
+  readonly dependencies: DependencyTracker;
+  /** Changes that a transaction may have. */
+  readonly changes: number;
+  announce(event: Event): void;
+}
+
+/**
+ * Cancels the live jobs that need a cancelled one. They have no tasks, since nothing of them started, so this is a
+ * matter of records alone. Users are never told anything else of such a job meanwhile (`JobStore.find`): what is left
+ * undone by a crash, or by congestion, may wait.
+ */
+export class DependentCancellation {
+  readonly #wake: Wake;
+
+  constructor(private readonly context: CancellationContext) {
+    this.#wake = new Wake(context.clock);
+  }
+
+  /** There may be something to cancel. */
+  wake(): void {
+    this.#wake.wake();
+  }
+
+  /** One step; to be run in a loop. */
+  async step(mayAct: () => boolean): Promise<void> {
+    await this.#wake.wait(CHECK_MS);
+    if (mayAct()) await this.cancelCondemned();
+  }
+
+  /** Cancels all that this node knows to be condemned, a transaction at a time, until the steady time given. */
+  async cancelCondemned(until = Infinity): Promise<void> {
+    const { changes, clock } = this.context;
+    const size = Math.max(1, Math.floor(changes / CHANGES_PER_JOB));
+    const open = this.#condemned();
+    for (let from = 0; from < open.length && clock.now() < until; from += size) {
+      await this.#cancel(open.slice(from, from + size));
+    }
+  }
+
+  #condemned(): Cancellation[] {
+    const { cache, dependencies, jobs } = this.context;
+    const final = jobs.finalRecord('cancelled', 0);
+    return [...dependencies.graph.condemned].flatMap((id) => {
+      const entry = cache.get(KEY.job(id));
+      return entry ? [{ id, version: entry.version, final }] : [];
+    });
+  }
+
+  async #cancel(cancellations: readonly Cancellation[]): Promise<void> {
+    const { store, jobs, announce } = this.context;
+    const result = await store.txn(
+      cancellations.flatMap(({ id, version }) => [
+        { key: KEY.job(id), version },
+        { key: KEY.final(id), version: 0 },
+      ]),
+      cancellations.flatMap(({ id, final }) => [
+        { put: KEY.final(id), value: final },
+        { delete: KEY.job(id) },
+      ]),
+    );
+    // Somebody else ended one of them meanwhile: the watch, or the next look at it, tells how.
+    if (!result.ok) return;
+    for (const { id, final } of cancellations) {
+      jobs.rememberFinal(id, final);
+      announce({ key: KEY.job(id), version: result.revision, deleted: true });
+    }
+  }
+}
--- a/src/bookkeeping/ended-jobs.ts
+++ b/src/bookkeeping/ended-jobs.ts
@@ -23,10 +23,13 @@
     private readonly cache: WatchCache,
     private readonly clock: Clock,
     cancelS: number,
+    /** Whether a job that ended can't have had a task: one that it needed was cancelled. */
+    neverStarted: (job: string) => boolean,
   ) {
     this.#windowMs = cancelS * 1000 + TOLD_LATER_MS;
     cache.onChange((event, before) => {
       if (!event.deleted || !event.key.startsWith(PREFIX.job)) return;
+      if (neverStarted(event.key.slice(PREFIX.job.length))) return;
       const job = read.job(before)?.job;
       if (job) this.#add(job.team, { cpus: job.cpus * job.tasks, gpus: job.gpus * job.tasks });
     });
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -1,98 +1,195 @@
 import type { Clock } from '../base/clock';
 import type { FinalState, Job, JobStatus } from '../protocol/model';
-import type { Event, StateStore, TxnResult } from '../protocol/state';
+import type { Entry, Event, StateStore, TxnResult } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
-import { KEY, read, type JobRecord } from './records';
+import { prepareJobRecord, type RecordLimits } from './dependency-records';
+import type { DependencyTracker } from './dependency-tracker';
+import type { FinalStates } from './final-states';
+import type { FormatGate } from './format-gate';
+import { KEY, read, type FinalRecord, type JobRecord } from './records';
+import type { WatchCache } from './watch-cache';
 
-const REMEMBERED_FINALS = 20_000;
+/** A submission names a job that was never accepted, or itself. */
+export class UnknownDependency extends Error {
+  override name = 'UnknownDependency';
+  constructor(readonly dependency: string) {
+    super(`${dependency} was never accepted`);
+  }
+}
+
+/** What the job store works on. */
+export interface JobStoreContext {
+  readonly store: StateStore;
+  readonly cache: WatchCache;
+  readonly clock: Clock;
+  readonly finals: FinalStates;
+  readonly dependencies: DependencyTracker;
+  readonly formatGate: FormatGate;
+  readonly limits: RecordLimits;
+  /** Brings a change that the state service has told us of into this node's view, and tells the other nodes. */
+  announce(event: Event): void;
+}
+
+/** The outcome of a submission. */
+export interface Acceptance {
+  /** False: the job had been accepted before. */
+  readonly isNew: boolean;
+  readonly status: JobStatus;
+}
 
 /**
  * Jobs as the state service has them. A live job's record is written once, when it is accepted, and deleted in the
  * transaction that writes its final state: done and cancelled race on that one record, and one of them wins for ever.
  */
 export class JobStore {
-  readonly #finals = new Map<string, JobStatus>();
-
-  constructor(
-    private readonly store: StateStore,
-    private readonly clock: Clock,
-    /** Brings a change that the state service has told us of into this node's view, and tells the other nodes. */
-    private readonly announce: (event: Event) => void,
-  ) {}
+  constructor(private readonly context: JobStoreContext) {}
 
   /** The job's state as of now, by the state service's word. Undefined: nobody has submitted it. */
   async find(id: string): Promise<JobStatus | undefined> {
-    const known = this.#finals.get(id);
+    const known = this.context.finals.known(id);
     if (known) return known;
     // In this order: a job that ends between the two reads is found by the second.
-    const live = await this.store.get(KEY.job(id));
-    if (live) return { id, state: 'queued', done: 0, running: 0 };
-    const entry = await this.store.get(KEY.final(id));
-    if (!entry) return undefined;
-    const final = read.final(entry.value);
-    // A job that has a record was accepted, whether we can read it or not.
-    if (!final) throw new NoAnswer(`the final state of ${id} can't be read`, false);
+    const live = await this.context.store.get(KEY.job(id));
+    return live ? this.#findLive(id, live) : this.#findFinal(id);
+  }
+
+  /**
+   * A job is cancelled when one that it needs is cancelled. Whoever asks after such a job is told so only after that is
+   * written, and is never told anything else: any node comes to the same answer, whatever became of the node that
+   * cancelled the other job.
+   */
+  async #findLive(id: string, live: Entry): Promise<JobStatus | undefined> {
+    const waits = this.#learnDependencies(live);
+    if (waits && (await this.context.dependencies.isCondemned(id))) return this.cancel(id, 0);
+    const status: JobStatus = { id, state: 'queued', done: 0, running: 0 };
+    if (!waits) return status;
+    return { ...status, unfinishedDependencies: this.context.dependencies.unfinishedDependencies(id) };
+  }
+
+  /** Brings a record that was just read into this node's view. True: the job has dependencies. */
+  #learnDependencies({ key, value, version }: Entry): boolean {
+    const record = read.job(value);
+    if (!record?.job.dependencies && record?.dependencyParts === undefined) return false;
+    this.context.cache.offer({ key, value, version, deleted: false });
+    return true;
+  }
+
+  async #findFinal(id: string): Promise<JobStatus | undefined> {
+    const final = await this.context.finals.read(id);
+    if (!final) return undefined;
     // The transaction that wrote it deleted the live record, and its writer may have died, or never had an answer. Who
     // tells a user of a cancellation has to know of it when it promises an owner that nothing was cancelled unheard
     // (`Vouching`): so it is in this node's view before any answer leaves.
-    if (final.state === 'cancelled')
-      this.announce({ key: KEY.job(id), version: entry.version, deleted: true });
-    return this.rememberFinal(id, final.state, final.done);
+    if (final.status.state === 'cancelled')
+      this.context.announce({ key: KEY.job(id), version: final.entry.version, deleted: true });
+    return final.status;
   }
 
-  rememberFinal(id: string, state: FinalState, done: number): JobStatus {
-    const status: JobStatus = { id, state, done, running: 0 };
-    const oldest = this.#finals.size >= REMEMBERED_FINALS ? this.#finals.keys().next().value : undefined;
-    if (oldest !== undefined) this.#finals.delete(oldest);
-    this.#finals.set(id, status);
-    return status;
+  /** The record of an end at this moment. */
+  finalRecord(state: FinalState, done: number): FinalRecord {
+    return this.context.finals.record(state, done, this.context.clock.date().getTime());
+  }
+
+  rememberFinal(id: string, final: FinalRecord): JobStatus {
+    return this.context.finals.learn(id, final);
   }
 
   /** Accepts a job for good, or finds the one accepted before under this id. */
-  async accept(job: Job): Promise<{ isNew: boolean; status: JobStatus }> {
-    const known = this.#finals.get(job.id);
+  async accept(job: Job): Promise<Acceptance> {
+    const known = this.context.finals.known(job.id);
     if (known) return { isNew: false, status: known };
-    const record: JobRecord = { job, submittedAt: this.clock.date().getTime() };
-    const guards = [
-      { key: KEY.job(job.id), version: 0 },
-      { key: KEY.final(job.id), version: 0 },
-    ];
-    let result: TxnResult | undefined;
-    try {
-      result = await this.store.txn(guards, [{ put: KEY.job(job.id), value: record }]);
-    } catch (error) {
-      if (!(error instanceof NoAnswer)) throw error;
-      // It may have been written: read it back. If it is written later still, the user's retry finds it.
+    const refusal = await this.#dependencyProblem(job);
+    if (refusal) {
+      // An accepted job stays accepted, whatever a repeated submission names.
+      const status = await this.find(job.id);
+      if (status) return { isNew: false, status };
+      throw refusal;
     }
+    const { store, clock, limits } = this.context;
+    const { record, guards } = await prepareJobRecord(job, clock.date().getTime(), store, limits);
+    const result = await this.#write(record, guards);
     if (result?.ok) {
-      this.announce({ key: KEY.job(job.id), version: result.revision, value: record, deleted: false });
-      return { isNew: true, status: { id: job.id, state: 'queued', done: 0, running: 0 } };
+      this.context.announce({
+        key: KEY.job(job.id),
+        version: result.revision,
+        value: record,
+        deleted: false,
+      });
+      return { isNew: true, status: await this.#statusOfAccepted(job) };
     }
     const status = await this.find(job.id);
     if (status) return { isNew: false, status };
     throw new NoAnswer('a submission was not confirmed', true);
   }
 
+  async #write(
+    record: JobRecord,
+    partGuards: { key: string; version: number }[],
+  ): Promise<TxnResult | undefined> {
+    const key = KEY.job(record.job.id);
+    const guards = [{ key, version: 0 }, { key: KEY.final(record.job.id), version: 0 }, ...partGuards];
+    try {
+      return await this.context.store.txn(guards, [{ put: key, value: record }]);
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      // It may have been written: read it back. If it is written later still, the user's retry finds it.
+      return undefined;
+    }
+  }
+
+  /** A job that names a cancelled one is accepted and is cancelled with it. */
+  async #statusOfAccepted(job: Job): Promise<JobStatus> {
+    const queued: JobStatus = { id: job.id, state: 'queued', done: 0, running: 0 };
+    if (!this.context.dependencies.graph.isCondemned(job.id)) return queued;
+    return (await this.cancel(job.id, 0)) ?? queued;
+  }
+
+  /** Why the job can't be accepted with the dependencies that it names, or not yet. */
+  async #dependencyProblem(job: Job): Promise<Error | undefined> {
+    if (!job.dependencies) return undefined;
+    // Only the state service's word proves that every version that may start tasks understands dependencies.
+    if (!(await this.context.formatGate.confirmOpen())) {
+      return new NoAnswer('not all controllers understand dependencies yet', false);
+    }
+    for (const dependency of job.dependencies) {
+      const exists = dependency !== job.id && (await this.#wasAccepted(dependency));
+      if (!exists) return new UnknownDependency(dependency);
+    }
+    return undefined;
+  }
+
+  /** A job that was accepted has a live or a final record for ever, so an older view proves it just as well. */
+  async #wasAccepted(id: string): Promise<boolean> {
+    const { finals, cache, store } = this.context;
+    if (finals.known(id) || cache.get(KEY.job(id))) return true;
+    const live = await store.get(KEY.job(id));
+    if (live) {
+      cache.offer({ key: live.key, value: live.value, version: live.version, deleted: false });
+      return true;
+    }
+    return (await finals.read(id)) !== undefined;
+  }
+
   /** Cancels a job unless it is done. Undefined: nobody has submitted it. */
   async cancel(id: string, doneSoFar: number): Promise<JobStatus | undefined> {
-    const known = this.#finals.get(id);
+    const known = this.context.finals.known(id);
     if (known) return known;
     for (;;) {
-      const live = await this.store.get(KEY.job(id));
+      const live = await this.context.store.get(KEY.job(id));
       if (!live) return this.find(id);
-      const guards = [
-        { key: KEY.job(id), version: live.version },
-        { key: KEY.final(id), version: 0 },
-      ];
-      const value = { state: 'cancelled', done: doneSoFar };
-      const result = await this.store.txn(
-        guards,
+      const value = this.finalRecord('cancelled', doneSoFar);
+      const result = await this.context.store.txn(
+        [
+          { key: KEY.job(id), version: live.version },
+          { key: KEY.final(id), version: 0 },
+        ],
         [{ put: KEY.final(id), value }, { delete: KEY.job(id) }],
         true,
       );
       if (result.ok) {
-        this.announce({ key: KEY.job(id), version: result.revision, deleted: true });
-        return this.rememberFinal(id, 'cancelled', doneSoFar);
+        const status = this.rememberFinal(id, value);
+        this.context.announce({ key: KEY.job(id), version: result.revision, deleted: true });
+        return status;
       }
     }
   }
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -22,6 +22,8 @@
   lease: (block: number) => `live/lease/${block}`,
   machine: (id: string) => `live/machine/${id}`,
   job: (id: string) => `live/job/${id}`,
+  /** A part of a job's list of dependencies, where the list doesn't fit the job's record. */
+  dependencyPart: (id: string, part: number) => `live/dependencies/${id}/${part}`,
   done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
   /** A node that does not own the block keeps the leases of workers which reach it and not the owner. */
   keep: (block: number, node: string) => `live/keep/${block}/${node}`,
@@ -31,6 +33,7 @@
   node: 'live/node/',
   machine: 'live/machine/',
   job: 'live/job/',
+  dependencyPart: 'live/dependencies/',
   done: 'live/done/',
   keep: 'live/keep/',
 };
@@ -61,11 +64,19 @@
   /** Time of day of the rental, for ageing only. */
   rentedAt: z.number(),
 });
-const finalRecord = z.object({ state: z.enum(['done', 'cancelled']), done: count });
+const finalRecord = z.object({
+  state: z.enum(['done', 'cancelled']),
+  done: count,
+  /** Time of day of the end, in milliseconds; the previous version neither writes nor reads it. */
+  endedAt: z.number().optional(),
+});
+const dependencyPartRecord = z.object({ dependencies: z.array(z.string()) });
 const doneRecord = z.object({ bits: z.string() });
 const jobRecord = z.object({
   job: z.custom<Job>((v) => typeof v === 'object' && v !== null && 'id' in v && 'tasks' in v),
   submittedAt: z.number(),
+  /** In how many parts of its own the list of dependencies is stored; absent where it stands in `job`. */
+  dependencyParts: z.int().min(1).optional(),
 });
 const typesRecord = z.object({
   types: z.array(
@@ -89,6 +100,7 @@
 export type LeaseRecord = z.infer<typeof leaseRecord>;
 export type MachineRecord = z.infer<typeof machineRecord>;
 export type FinalRecord = z.infer<typeof finalRecord>;
+export type DependencyPartRecord = z.infer<typeof dependencyPartRecord>;
 export type JobRecord = z.infer<typeof jobRecord>;
 
 function reader<T>(schema: z.ZodType<T>): (value: unknown) => T | undefined {
@@ -107,6 +119,7 @@
   lease: reader(leaseRecord),
   machine: reader(machineRecord),
   final: reader(finalRecord),
+  dependencyPart: reader(dependencyPartRecord),
   done: reader(doneRecord),
   job: reader(jobRecord),
   types: reader(typesRecord),
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -40,6 +40,11 @@
     const machine = this.block.machines.get(id);
     const task = table?.nextUnassigned() ?? -1;
     if (!table || !machine || task < 0) return;
+    // Attempts are issued here and nowhere else, so whatever chose this job, nothing of it starts too early.
+    if (!this.block.isReady(table)) {
+      this.deps.log.error({ job }, 'a job was placed before its dependencies are done');
+      return;
+    }
     const number = attemptNumber(this.block.token, this.block.nextCounter());
     const key = attemptKey(job, task, number);
     machine.put({
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -178,6 +178,11 @@
     this.#block.machines.delete(id);
   }
 
+  /** The last dependencies of some jobs are done. */
+  jobsReady(): void {
+    this.#wake.wake();
+  }
+
   closeJob(id: string): void {
     this.#attempts.closeJob(id);
   }
@@ -310,7 +315,7 @@
         if (a.phase === 'running') sum.runningCpus += a.needs.cpus;
       }
     }
-    for (const table of this.tables.values()) sum.waiting += table.unassigned;
+    for (const table of this.tables.values()) if (table.isReady) sum.waiting += table.unassigned;
     for (const count of this.#scheduler.unplaced.values()) sum.unplaced += count;
     this.deps.log.info({ block: this.block, jobs: this.tables.size, ...sum }, 'block');
   }
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -12,6 +12,8 @@
 const TRIES_MS = 2_000;
 /** After a takeover the first workers come within this time, and each next one. */
 const COME_ON_MS = 1_500;
+/** A job without an aim should be done within so many times its tasks' run time. */
+const USUAL_RUNS = 4;
 
 /** What a block's owner knows: jobs with their tables, machines with what they hold, and its right to act. */
 export class Block {
@@ -173,6 +175,9 @@
     if (!most) return undefined;
     for (const { job, unassigned, version } of this.tables.values()) {
       if (version > this.takenRevision) continue;
+      // Nobody can have started a job while another that it needs was live, and our view is newer than what any owner
+      // before us acted on.
+      if (this.deps.dependencies.waitsForLiveJob(job.id)) continue;
       const sum = most.get(job.team) ?? { cpus: 0, gpus: 0 };
       const { cpus, gpus } = job;
       most.set(job.team, { cpus: sum.cpus + unassigned * cpus, gpus: sum.gpus + unassigned * gpus });
@@ -180,13 +185,40 @@
     return most;
   }
 
-  /** When a job should be done, on the time-of-day clock: its deadline, or what the aims say of its class. */
+  /** Whether all that the job needs is done, by the state service's word. */
+  isReady(table: DispatchTable): boolean {
+    if (table.isReady) return true;
+    const { dependencies } = this.deps;
+    const { id } = table.job;
+    if (!dependencies.isReady(id)) return false;
+    table.isReady = true;
+    table.waitingSince = Math.max(table.submittedAt, dependencies.graph.lastDependencyEndedAt(id) ?? 0);
+    return true;
+  }
+
+  /** Takes in what has become known of the jobs that need this one. */
+  updateUrgency(table: DispatchTable): void {
+    const urgency = this.deps.chainUrgency.of(table.job.id);
+    if (urgency) table.raisePriority(urgency.priority);
+  }
+
+  /**
+   * When a job should be done, on the time-of-day clock: its deadline, what the aims say of its class, or the latest
+   * end that lets the jobs which need it be in time.
+   */
   #dueAt(table: DispatchTable): number {
-    const { job } = table;
-    if (job.deadlineS !== null) return table.submittedAt + job.deadlineS * 1000;
+    const chainDueAt = this.deps.chainUrgency.of(table.job.id)?.latestFinishAt;
+    const ownDueAt = this.#ownDueAt(table);
+    if (ownDueAt !== undefined) return Math.min(ownDueAt, chainDueAt ?? Infinity);
+    const usualDueAt = table.waitingSince + USUAL_RUNS * this.estimates.runS(table.job) * 1000;
+    return chainDueAt ?? usualDueAt;
+  }
+
+  #ownDueAt({ job, submittedAt, waitingSince }: DispatchTable): number | undefined {
+    if (job.deadlineS !== null) return submittedAt + job.deadlineS * 1000;
     const { objectives } = this.deps.settings.platform.deployment;
     const within = objectives.find((o) => o.kind === 'finished' && o.class === job.jobClass)?.within_s;
-    return table.submittedAt + (within ?? 4 * this.estimates.runS(job)) * 1000;
+    return within === undefined ? undefined : waitingSince + within * 1000;
   }
 
   /** How long the job's tasks can still wait and be in time, as far as estimates tell. */
@@ -227,8 +259,8 @@
     return result.ok && this.entitled;
   }
 
-  /** How long since the job was submitted. */
+  /** How long the job has waited for machines. */
   ageMs(table: DispatchTable): number {
-    return this.deps.clock.date().getTime() - table.submittedAt;
+    return this.deps.clock.date().getTime() - table.waitingSince;
   }
 }
--- /dev/null
+++ b/src/coordination/chain-urgency.ts
@@ -0,0 +1,100 @@
+import { KEY, read } from '../bookkeeping/records';
+import type { JobGraph } from '../bookkeeping/job-graph';
+import type { WatchCache } from '../bookkeeping/watch-cache';
+import { PRIORITY_RANK, type Priority } from '../protocol/model';
+
+/** How urgent a job is, given all jobs that need it. */
+export interface Urgency {
+  /** The highest priority among the job and all that need it. */
+  readonly priority: Priority;
+  /** Time of day by which it has to be done for all deadlines after it to be met; undefined where there is none. */
+  readonly latestFinishAt: number | undefined;
+}
+
+/** What of a live job matters to those that it needs. */
+export interface ChainJob {
+  readonly priority: Priority;
+  /** Time of day of its own deadline. */
+  readonly dueAt: number | undefined;
+  readonly runMs: number;
+}
+
+function earlier(a: number | undefined, b: number | undefined): number | undefined {
+  if (a === undefined) return b;
+  return b === undefined ? a : Math.min(a, b);
+}
+
+function merge(own: Urgency, dependent: Urgency, dependentRunMs: number): Urgency {
+  const isHigher = PRIORITY_RANK[dependent.priority] < PRIORITY_RANK[own.priority];
+  const latestStartAt =
+    dependent.latestFinishAt === undefined ? undefined : dependent.latestFinishAt - dependentRunMs;
+  return {
+    priority: isHigher ? dependent.priority : own.priority,
+    latestFinishAt: earlier(own.latestFinishAt, latestStartAt),
+  };
+}
+
+/**
+ * Carries priorities and deadlines from each job to those that it needs, last jobs first, and so through chains of any
+ * length without recursion. The result holds the live jobs that others need.
+ */
+export function chainUrgencies(
+  graph: JobGraph,
+  describe: (id: string) => ChainJob | undefined,
+): Map<string, Urgency> {
+  const urgencies = new Map<string, Urgency>();
+  const jobs = new Map<string, ChainJob>();
+  const openDependents = new Map<string, number>();
+  const ready: string[] = [];
+  for (const id of new Set([...graph.jobs(), ...graph.dependencies()])) {
+    const job = describe(id);
+    if (!job) continue;
+    jobs.set(id, job);
+    urgencies.set(id, { priority: job.priority, latestFinishAt: job.dueAt });
+    const dependents = [...graph.dependentsOf(id)].length;
+    openDependents.set(id, dependents);
+    if (dependents === 0) ready.push(id);
+  }
+  for (let id = ready.pop(); id !== undefined; id = ready.pop()) {
+    const urgency = urgencies.get(id);
+    const runMs = jobs.get(id)?.runMs ?? 0;
+    for (const dependency of graph.dependenciesOf(id)) {
+      const own = urgencies.get(dependency);
+      if (urgency && own) urgencies.set(dependency, merge(own, urgency, runMs));
+      const left = (openDependents.get(dependency) ?? 0) - 1;
+      openDependents.set(dependency, left);
+      if (left === 0) ready.push(dependency);
+    }
+  }
+  for (const id of graph.jobs()) if (!graph.isDependency(id)) urgencies.delete(id);
+  return urgencies;
+}
+
+/** The urgencies of the present graph, worked out again only after it has changed. */
+export class ChainUrgency {
+  #urgencies: ReadonlyMap<string, Urgency> = new Map();
+  #version = -1;
+
+  constructor(
+    private readonly graph: JobGraph,
+    private readonly cache: WatchCache,
+  ) {}
+
+  /** The urgency of a live job that others need; undefined for any other. */
+  of(id: string): Urgency | undefined {
+    if (!this.graph.isDependency(id)) return undefined;
+    if (this.graph.version !== this.#version) {
+      this.#version = this.graph.version;
+      this.#urgencies = chainUrgencies(this.graph, (job) => this.#describe(job));
+    }
+    return this.#urgencies.get(id);
+  }
+
+  #describe(id: string): ChainJob | undefined {
+    const record = read.job(this.cache.get(KEY.job(id))?.value);
+    if (!record) return undefined;
+    const { priority, deadlineS, estimateS } = record.job;
+    const dueAt = deadlineS === null ? undefined : record.submittedAt + deadlineS * 1000;
+    return { priority, dueAt, runMs: estimateS * 1000 };
+  }
+}
--- a/src/coordination/deps.ts
+++ b/src/coordination/deps.ts
@@ -4,10 +4,12 @@
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
 import type { FormatGate } from '../bookkeeping/format-gate';
+import type { DependencyTracker } from '../bookkeeping/dependency-tracker';
 import type { EndedJobs } from '../bookkeeping/ended-jobs';
 import type { JobStore } from '../bookkeeping/job-store';
 import type { Session } from '../bookkeeping/session';
 import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { ChainUrgency } from './chain-urgency';
 import type { Cloud } from '../protocol/cloud';
 import type { MachineType } from '../protocol/model';
 import type { Event, StateStore } from '../protocol/state';
@@ -27,6 +29,8 @@
   readonly session: Session;
   readonly jobs: JobStore;
   readonly ended: EndedJobs;
+  readonly dependencies: DependencyTracker;
+  readonly chainUrgency: ChainUrgency;
   readonly cloud: Cloud;
   /** For calls to workers. */
   readonly workers: HttpCaller;
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/dispatch-table.ts
@@ -1,6 +1,6 @@
 import { Bitmap } from '../bookkeeping/bitmap';
 import type { JobRecord } from '../bookkeeping/records';
-import type { Job } from '../protocol/model';
+import { PRIORITY_RANK, type Job, type Priority } from '../protocol/model';
 
 const UNASSIGNED = 0;
 const ISSUED = 1;
@@ -19,8 +19,11 @@
  * done bitmap and the workers' reports.
  */
 export class DispatchTable {
-  readonly job: Job;
   readonly submittedAt: number;
+  /** Time of day from which on the job waits for machines only: its submission, or the end of its last dependency. */
+  waitingSince: number;
+  /** Whether all that the job needs is done; once true it stays true. */
+  isReady: boolean;
   /** What the state service has acknowledged. */
   readonly recorded: Bitmap;
   /** Versions of the bitmap's chunks in the state service. */
@@ -34,6 +37,7 @@
   retryAt = 0;
   /** When its completions were last written, or were to be. */
   recordedAt = -Infinity;
+  #job: Job;
   #errorsInRow = 0;
   #unassigned: number;
   /** No task below this one is unassigned. */
@@ -44,14 +48,26 @@
     record: JobRecord,
     readonly version: number,
   ) {
-    this.job = record.job;
+    this.#job = record.job;
     this.submittedAt = record.submittedAt;
+    this.waitingSince = record.submittedAt;
+    this.isReady = record.job.dependencies === undefined && record.dependencyParts === undefined;
     this.recorded = new Bitmap(this.job.tasks);
     this.chunkVersions = new Array<number>(this.recorded.chunks).fill(0);
     this.#states = new Uint8Array(this.job.tasks);
     this.#unassigned = this.job.tasks;
   }
 
+  /** The job as it is scheduled: with the highest priority of all that need it. */
+  get job(): Job {
+    return this.#job;
+  }
+
+  raisePriority(priority: Priority): void {
+    if (PRIORITY_RANK[priority] >= PRIORITY_RANK[this.#job.priority]) return;
+    this.#job = { ...this.#job, priority };
+  }
+
   get unassigned(): number {
     return this.#unassigned;
   }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,12 +1,15 @@
 import { Wake, type Clock } from '../base/clock';
 import { Lag } from '../base/lag';
 import type { Log } from '../base/log';
-import { runLoop } from '../base/loop';
+import { describe, runLoop } from '../base/loop';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
 import { blockCount } from '../bookkeeping/block-count';
 import { FormatGate } from '../bookkeeping/format-gate';
+import { DependencyTracker } from '../bookkeeping/dependency-tracker';
+import { DependentCancellation } from '../bookkeeping/dependent-cancellation';
 import { EndedJobs } from '../bookkeeping/ended-jobs';
+import { FinalStates } from '../bookkeeping/final-states';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import { Session } from '../bookkeeping/session';
@@ -18,6 +21,7 @@
 import type { HttpCaller } from '../transport/http-client';
 import { RateLimit } from '../transport/rate-limit';
 import { BlockOwner, type OwnAnswer } from './block-owner';
+import { ChainUrgency } from './chain-urgency';
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 import { Keeping } from './keeping';
@@ -57,6 +61,10 @@
 /** A mark that is there stays there; it is looked at again only to be safe against an operator's mistake. */
 const FORMAT_CHECK_MS = 600_000;
 const FORMAT_RETRY_MS = 300;
+/** How long the answer to a cancellation may wait for the records of jobs that need the cancelled one. */
+const CANCEL_DEPENDENTS_MS = 1_000;
+/** Records whose changes concern neither the leader nor the taking of blocks. */
+const QUIET_PREFIXES = [PREFIX.done, PREFIX.machine, PREFIX.dependencyPart];
 const MAX_PROGRESS = 2_000;
 
 export type ReportAnswer = OwnAnswer | { kind: 'elsewhere'; owner: string | undefined };
@@ -72,6 +80,7 @@
   readonly #vouching: Vouching;
   readonly #reach: Reach;
   readonly #keeping: Keeping;
+  readonly #dependentCancellation: DependentCancellation;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
   readonly #progress = new Map<string, JobProgress>();
@@ -112,13 +121,32 @@
       this.#cache.offer(event);
       outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
     };
-    this.jobs = new JobStore(stateStore, clock, announce);
     const controllers = [platform.node, ...platform.others.map((other) => other.node)];
+    const formatGate = new FormatGate(platform.node, controllers, stateStore, this.#cache);
+    const finals = new FinalStates(stateStore, formatGate);
+    // It hears of an end before the graph forgets the job.
+    const ended = new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s, (id) =>
+      dependencies.graph.isCondemned(id),
+    );
+    const dependencies = new DependencyTracker(this.#cache, finals, clock);
+    const records = { store: stateStore, cache: this.#cache, clock, dependencies, announce };
+    const limits = { valueBytes: state.value_kb * 1024, changes: state.txn_ops };
+    this.jobs = new JobStore({ ...records, finals, formatGate, limits });
+    this.#dependentCancellation = new DependentCancellation({
+      ...records,
+      jobs: this.jobs,
+      changes: state.txn_ops,
+    });
+    dependencies.onReady(() => {
+      for (const owner of this.#owners.values()) owner.jobsReady();
+    });
     this.#deps = {
-      formatGate: new FormatGate(platform.node, controllers, stateStore, this.#cache),
+      formatGate,
+      dependencies,
+      chainUrgency: new ChainUrgency(dependencies.graph, this.#cache),
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
       lag: new Lag(clock),
-      ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
+      ended,
       ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers, announce },
       types: () => this.#types,
     };
@@ -167,6 +195,8 @@
     loop('vouching', () => this.#vouching.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
     loop('cloud list', () => this.#listCloud(signal), 3_000);
+    loop('dependencies', () => this.#deps.dependencies.step());
+    loop('dependents of cancelled jobs', () => this.#dependentCancellation.step(() => this.#leader.isLeader));
     loop('progress', async () => {
       await clock.sleep(PROGRESS_MS, signal);
       this.#shareProgress();
@@ -218,11 +248,20 @@
     const progress = this.#progress.get(status.id);
     if (!progress || status.state === 'done' || status.state === 'cancelled') return status;
     const state = progress.running > 0 ? 'running' : 'queued';
-    return { id: status.id, state, done: progress.done, running: progress.running };
+    return { ...status, state, done: progress.done, running: progress.running };
   }
 
-  doneSoFar(id: string): number {
-    return this.#progress.get(id)?.done ?? 0;
+  /**
+   * Cancels a job unless it is done, and what needs it as far as that can be written at once; the leader does the rest.
+   */
+  async cancel(id: string): Promise<JobStatus | undefined> {
+    const status = await this.jobs.cancel(id, this.#progress.get(id)?.done ?? 0);
+    if (status?.state !== 'cancelled' || this.#deps.dependencies.graph.condemned.size === 0) return status;
+    const until = this.outside.clock.now() + CANCEL_DEPENDENTS_MS;
+    await this.#dependentCancellation.cancelCondemned(until).catch((error: unknown) => {
+      this.outside.log.info({ job: id, err: describe(error) }, 'dependents are still to be cancelled');
+    });
+    return status;
   }
 
   report(report: Report): ReportAnswer | Promise<ReportAnswer> {
@@ -282,7 +321,7 @@
     if (key.startsWith(PREFIX.keep)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
-    } else if (!key.startsWith(PREFIX.done) && !key.startsWith(PREFIX.machine)) {
+    } else if (!QUIET_PREFIXES.some((prefix) => key.startsWith(prefix))) {
       if (key === KEY.types) this.#types = read.types(event.value)?.types ?? this.#types;
       this.#leaderWake.wake();
       this.#ownerWake.wake();
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -1,7 +1,7 @@
 import { Wake } from '../base/clock';
 import { CHUNK_TASKS } from '../bookkeeping/bitmap';
 import { blockCount } from '../bookkeeping/block-count';
-import { KEY, read } from '../bookkeeping/records';
+import { KEY, read, type FinalRecord } from '../bookkeeping/records';
 import type { Change, Guard } from '../protocol/state';
 import type { Deps } from './deps';
 import type { DispatchTable } from './dispatch-table';
@@ -22,7 +22,8 @@
   table: DispatchTable;
   tasks: number[];
   chunks: number[];
-  final: boolean;
+  /** The final state that is written with the last completions. */
+  final: FinalRecord | undefined;
   guards: Guard[];
   changes: Change[];
 }
@@ -111,22 +112,20 @@
   }
 
   #finalPart(table: DispatchTable): Part {
-    const { id } = table.job;
+    const { id, tasks } = table.job;
+    const final = this.deps.jobs.finalRecord('done', tasks);
     // The last completions and the final state are one write, guarded on the record that a cancellation deletes.
     const guards: Guard[] = [
       { key: KEY.job(id), version: table.version },
       { key: KEY.final(id), version: 0 },
     ];
-    const changes: Change[] = [
-      { put: KEY.final(id), value: { state: 'done', done: table.job.tasks } },
-      { delete: KEY.job(id) },
-    ];
+    const changes: Change[] = [{ put: KEY.final(id), value: final }, { delete: KEY.job(id) }];
     table.chunkVersions.forEach((version, chunk) => {
       if (version === 0) return;
       guards.push({ key: KEY.done(id, chunk), version });
       changes.push({ delete: KEY.done(id, chunk) });
     });
-    return { table, tasks: [...table.unrecorded], chunks: [], final: true, guards, changes };
+    return { table, tasks: [...table.unrecorded], chunks: [], final, guards, changes };
   }
 
   #bitmapPart(table: DispatchTable): Part {
@@ -139,7 +138,7 @@
       guards.push({ key: KEY.done(id, chunk), version: table.chunkVersions[chunk] ?? 0 });
       changes.push({ put: KEY.done(id, chunk), value: { bits: table.encodeChunk(chunk) } });
     }
-    return { table, tasks, chunks, final: false, guards, changes };
+    return { table, tasks, chunks, final: undefined, guards, changes };
   }
 
   async #write(parts: Part[]): Promise<boolean> {
@@ -155,7 +154,7 @@
     for (const part of parts) {
       const { id } = part.table.job;
       if (part.final) {
-        this.deps.jobs.rememberFinal(id, 'done', part.table.job.tasks);
+        this.deps.jobs.rememberFinal(id, part.final);
         this.deps.log.info({ job: id, tasks: part.table.job.tasks }, 'job done');
         this.deps.announce({ key: KEY.job(id), version: result.revision, deleted: true });
         this.block.closeJob(id);
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -1,5 +1,6 @@
 import { describe } from '../base/loop';
 import type { Log } from '../base/log';
+import { UnknownDependency } from '../bookkeeping/job-store';
 import type { Job, MachineType } from '../protocol/model';
 import { JOB_ID, readSubmission, typeAllows, writeStanding, writeStatus } from '../protocol/users';
 import { readReport, writeRedirect, writeReportAnswer } from '../protocol/workers';
@@ -34,9 +35,16 @@
 export function createRoutes(node: Node, log: Log): Route[] {
   const { teams } = node.settings.platform.deployment;
   const undecided = (error?: unknown): HttpReply => {
+    if (error instanceof UnknownDependency) return refused(422, error.message);
     if (error !== undefined) log.debug({ err: describe(error) }, 'a request could not be decided');
     return { status: 503, body: { error: 'not now' }, retryAfterS: RETRY_AFTER_S };
   };
+  const refused = (status: number, error: string): HttpReply => ({ status, body: { error } });
+  /** An accepted job stays accepted, whatever a repeated submission says, or the machine types say today. */
+  const knownOr = async (id: string, refusal: HttpReply): Promise<HttpReply> => {
+    const known = await node.jobs.find(id);
+    return known ? { status: 200, body: writeStatus(node.withProgress(known)) } : refusal;
+  };
   const guarded = (handle: Route['handle']): Route['handle'] => {
     return (request) => {
       try {
@@ -59,19 +67,19 @@
       url: '/work',
       use: 'users',
       handle: guarded(async ({ body }) => {
-        const job = readSubmission(body);
-        if (typeof job === 'string') return { status: 400, body: { error: job } };
+        const submission = readSubmission(body);
+        if (submission.kind === 'invalid') return refused(400, submission.error);
+        if (submission.kind === 'invalid dependencies') {
+          return knownOr(submission.id, refused(400, submission.error));
+        }
+        const { job } = submission;
         if (node.types.length === 0 || !node.lag.maySubmit) return undecided();
         const never = whyNever(job, node.types, teams);
-        if (never !== undefined) {
-          // An accepted job stays accepted, whatever the machine types say today.
-          const known = await node.jobs.find(job.id);
-          return known ? { status: 200, body: writeStatus(known) } : { status: 422, body: { error: never } };
-        }
+        if (never !== undefined) return knownOr(job.id, refused(422, never));
         const { isNew, status } = await node.jobs.accept(job);
         if (!isNew) return { status: 200, body: writeStatus(node.withProgress(status)) };
         log.info({ job: job.id, jobClass: job.jobClass, team: job.team, tasks: job.tasks }, 'job accepted');
-        return { status: 201, body: writeStanding(job.id, 'queued') };
+        return { status: 201, body: writeStanding(job.id, status.state) };
       }),
     },
     {
@@ -91,7 +99,7 @@
       use: 'users',
       handle: guarded(async ({ params }) => {
         const id = params.id ?? '';
-        const status = JOB_ID.test(id) ? await node.jobs.cancel(id, node.doneSoFar(id)) : undefined;
+        const status = JOB_ID.test(id) ? await node.cancel(id) : undefined;
         if (!status) return { status: 404, body: { error: 'no such job' } };
         if (status.state === 'cancelled') log.info({ job: id }, 'job cancelled');
         return { status: 200, body: writeStanding(id, status.state) };
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -110,7 +110,8 @@
     const agedMs = this.deps.settings.operator.aged_s * 1000;
     const waiting: WaitingJob[] = [];
     for (const table of block.tables.values()) {
-      if (table.unassigned === 0 || table.retryAt > now) continue;
+      block.updateUrgency(table);
+      if (table.unassigned === 0 || !block.isReady(table) || table.retryAt > now) continue;
       const { job } = table;
       // A task may still be on a machine that we have not heard of since we took the block. Only a job that was
       // accepted after we took it can't be; what its team may use there is counted against its limit.
@@ -130,7 +131,7 @@
         // a large job that is late would wait for as long as the surplus lasts.
         aged: block.ageMs(table) > agedMs && (!begun || slackMs < 0) && !table.suspect,
         begun,
-        submittedAt: table.submittedAt,
+        submittedAt: table.waitingSince,
       });
     }
     return waiting;
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -40,6 +40,8 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts; absent where there are none. */
+  dependencies?: readonly string[];
 }
 
 export interface MachineType extends Resources {
@@ -60,6 +62,8 @@
   state: JobState;
   done: number;
   running: number;
+  /** What a job that has to wait still waits for; absent where it waits for none. */
+  unfinishedDependencies?: readonly string[];
 }
 
 export type AttemptPhase = 'fetching' | 'running' | 'saving' | 'exited';
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -3,6 +3,8 @@
 import type { Job, JobState, JobStatus, MachineType } from './model';
 
 const MAX_TASKS = 100_000;
+/** Of what a job waits for, an answer lists this many. */
+const MAX_LISTED_DEPENDENCIES = 100;
 const amount = z.number().min(0).max(1e9);
 const text = z.string().min(1).max(200);
 
@@ -29,20 +31,41 @@
   dueS: amount.nullish(),
 });
 
+const dependencyList = z.array(z.string().regex(/^req-[0-9]{1,32}$/)).nullish();
+
 const PRIORITIES = { prod: 'production', urgent: 'high', normal: 'normal', best_effort: 'low' } as const;
 
 export const JOB_ID = /^req-[0-9]{1,32}$/;
 
-/** Reads a submission. A text tells the user what is wrong with it. */
-export function readSubmission(body: Uint8Array): Job | string {
+/** A submission as it was read. */
+export type Submission =
+  | { readonly kind: 'valid'; readonly job: Job }
+  /** All but its list of dependencies can be read: harmless where the job was accepted before. */
+  | { readonly kind: 'invalid dependencies'; readonly id: string; readonly error: string }
+  | { readonly kind: 'invalid'; readonly error: string };
+
+function firstIssue(error: z.ZodError, field?: string): string {
+  const issue = error.issues[0];
+  const path = [...(field === undefined ? [] : [field]), ...(issue?.path ?? [])];
+  return `${path.join('.')}: ${issue?.message ?? 'invalid'}`;
+}
+
+/** Reads a submission, or tells what is wrong with it. */
+export function readSubmission(body: Uint8Array): Submission {
   const map = decodeMap(body);
-  if (!map) return 'the body is not a MessagePack map';
+  if (!map) return { kind: 'invalid', error: 'the body is not a MessagePack map' };
   const parsed = submission.safeParse(map);
-  if (!parsed.success) {
-    const issue = parsed.error.issues[0];
-    return `${issue?.path.join('.') ?? 'body'}: ${issue?.message ?? 'invalid'}`;
+  if (!parsed.success) return { kind: 'invalid', error: firstIssue(parsed.error) };
+  const job = toJob(parsed.data);
+  const dependencies = dependencyList.safeParse(map.awaits);
+  if (!dependencies.success) {
+    return { kind: 'invalid dependencies', id: job.id, error: firstIssue(dependencies.error, 'awaits') };
   }
-  const s = parsed.data;
+  const distinct = [...new Set(dependencies.data ?? [])];
+  return { kind: 'valid', job: distinct.length === 0 ? job : { ...job, dependencies: distinct } };
+}
+
+function toJob(s: z.infer<typeof submission>): Job {
   return {
     id: s.nameId,
     jobClass: s.docket,
@@ -79,6 +102,9 @@
     standing: STANDINGS[status.state],
     done: status.done,
     running: status.running,
+    ...(status.unfinishedDependencies?.length
+      ? { awaits: status.unfinishedDependencies.slice(0, MAX_LISTED_DEPENDENCIES) }
+      : {}),
   };
 }
 
--- /dev/null
+++ b/test/dependencies.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { submission } from './fakes/submission';
+import { World } from './fakes/world';
+
+test('a pipeline runs stage by stage', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 2 });
+  await world.submit('req-2', { pieces: 2, awaits: ['req-1'], crew: 'red' });
+  await world.submit('req-3', { pieces: 1, awaits: ['req-1', 'req-2'] });
+  assert.equal(await world.standing('req-3', 1), 'pending');
+  await world.untilStanding('req-3', 'done');
+  assert.equal(await world.standing('req-2', 2), 'done');
+  world.noRuleBroken();
+});
+
+test('cancelling the first job of a pipeline cancels all of it, at every controller', async () => {
+  const world = new World();
+  await world.submit('req-1', { pieces: 2 }, 100);
+  await world.submit('req-2', { awaits: ['req-1'] });
+  await world.submit('req-3', { awaits: ['req-2'] });
+  assert.equal(await world.cancel('req-1'), 'withdrawn');
+  for (const index of [0, 1, 2]) assert.equal(await world.standing('req-3', index), 'withdrawn');
+  const late = await world.ask(1, 'POST', '/work', submission('req-4', { awaits: ['req-3'] }));
+  assert.equal(late.status, 201);
+  assert.equal(await world.standing('req-4', 2), 'withdrawn');
+  await world.clock.advance(40_000);
+  assert.deepEqual(world.running, []);
+});
+
+test('a job that names unknown jobs, or itself, is refused; one that was accepted before is not', async () => {
+  const world = new World();
+  await world.submit('req-1');
+  const post = (id: string, awaits: unknown) => world.ask(0, 'POST', '/work', submission(id, { awaits }));
+  assert.equal((await post('req-2', ['req-9'])).status, 422);
+  assert.equal((await post('req-2', ['req-2'])).status, 422);
+  assert.equal((await post('req-2', 'req-1')).status, 400);
+  assert.equal((await post('req-2', ['one'])).status, 400);
+  assert.equal((await post('req-2', null)).status, 201);
+  for (const awaits of [['req-9'], 'req-1', 7]) assert.equal((await post('req-1', awaits)).status, 200);
+});
