--- a/src/bookkeeping/format-gate.ts
+++ b/src/bookkeeping/format-gate.ts
@@ -1,7 +1,13 @@
+import type { Clock } from '../base/clock';
+import type { Log } from '../base/log';
 import type { StateStore } from '../protocol/state';
 import { KEY, read, RECORD_FORMAT } from './records';
 import type { WatchCache } from './watch-cache';
 
+const CHECK_MS = 1_000;
+const MARK_RETRY_MS = 300;
+const REPORT_MS = 10_000;
+
 /**
  * Decides when records that the previous version can't read may be written. Every controller leaves a durable mark of
  * the record format that it understands; the gate is open once the marks of all controllers named in the settings are
@@ -9,14 +15,39 @@
  */
 export class FormatGate {
   #isOpen = false;
+  #isMarked = false;
+  #isReported = false;
+  #reportedAt = -Infinity;
 
   constructor(
     private readonly node: string,
     private readonly controllers: readonly string[],
     private readonly store: StateStore,
     private readonly cache: WatchCache,
+    private readonly clock: Clock,
+    private readonly log: Log,
   ) {}
 
+  /** One step: writes this controller's mark, and tells the operator how far the upgrade is. To be run in a loop. */
+  async step(signal: AbortSignal): Promise<void> {
+    if (!this.#isMarked) this.#isMarked = await this.mark();
+    this.#report();
+    await this.clock.sleep(this.#isMarked ? CHECK_MS : MARK_RETRY_MS, signal);
+  }
+
+  /** One line when the gate opens, and one every now and then while it is closed. */
+  #report(): void {
+    if (this.#isReported || !this.cache.loaded) return;
+    const now = this.clock.now();
+    if (this.isOpen) {
+      this.#isReported = true;
+      this.log.info({ format: RECORD_FORMAT }, 'all controllers understand the record format');
+    } else if (now - this.#reportedAt >= REPORT_MS) {
+      this.#reportedAt = now;
+      this.log.info({ format: RECORD_FORMAT, missing: this.missing() }, 'not all controllers are upgraded');
+    }
+  }
+
   /** Whether every controller understands the present format, as far as this node's copy of the records tells. */
   get isOpen(): boolean {
     this.#isOpen ||= this.missing().length === 0;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -66,7 +66,8 @@
       else orphans.push(block);
     }
     for (const block of orphans) {
-      const [owner] = [...load].sort((a, b) => a[1] - b[1])[0] ?? [];
+      const [owner] =
+        [...load].sort((a, b) => a[1] - b[1] || this.#staleness(a[0]) - this.#staleness(b[0]))[0] ?? [];
       if (owner === undefined) return;
       if (!(await this.#give(block, owner))) return;
       load.set(owner, (load.get(owner) ?? 0) + 1);
@@ -74,6 +75,14 @@
     await this.#balance(load);
   }
 
+  /**
+   * While the service is upgraded, a controller that is still to be restarted would soon lose its block again: among
+   * equals, blocks go to those that have been upgraded.
+   */
+  #staleness(node: string): number {
+    return this.deps.formatGate.missing().includes(node) ? 1 : 0;
+  }
+
   /** After the end of all nodes the one that held the block last may take it at once; the others wait a while. */
   #wantsBack(
     record: BlockRecord,
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -58,9 +58,6 @@
 /** How far apart nodes may notice the same outage: their watches' ends, and the pace at which they speak. */
 const NOTICE_SPREAD_MS = 2_500;
 const PEER_MEMORY_MS = 3_500;
-/** A mark that is there stays there; it is looked at again only to be safe against an operator's mistake. */
-const FORMAT_CHECK_MS = 600_000;
-const FORMAT_RETRY_MS = 300;
 /** How long the answer to a cancellation may wait for the records of jobs that need the cancelled one. */
 const CANCEL_DEPENDENTS_MS = 1_000;
 /** Records whose changes concern neither the leader nor the taking of blocks. */
@@ -122,7 +119,7 @@
       outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
     };
     const controllers = [platform.node, ...platform.others.map((other) => other.node)];
-    const formatGate = new FormatGate(platform.node, controllers, stateStore, this.#cache);
+    const formatGate = new FormatGate(platform.node, controllers, stateStore, this.#cache, clock, log);
     const finals = new FinalStates(stateStore, formatGate);
     // It hears of an end before the graph forgets the job.
     const ended = new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s, (id) =>
@@ -178,7 +175,7 @@
     };
     loop('lag', () => this.#deps.lag.step(signal));
     loop('watch', () => this.#cache.step(), 300);
-    loop('format mark', () => this.#markFormat(signal), 300);
+    loop('record format', () => this.#deps.formatGate.step(signal), 300);
     loop('session', () => this.#session.step(signal), 300);
     loop('leader', async () => {
       await this.#leaderWake.wait(LEADER_PAUSE_MS);
@@ -419,11 +416,6 @@
     );
   }
 
-  async #markFormat(signal: AbortSignal): Promise<void> {
-    const isMarked = await this.#deps.formatGate.mark();
-    await this.outside.clock.sleep(isMarked ? FORMAT_CHECK_MS : FORMAT_RETRY_MS, signal);
-  }
-
   async #refreshTypes(signal: AbortSignal): Promise<void> {
     const { cache, store, clock, cloud } = this.#deps;
     if (!cache.loaded) {
