--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -67,6 +67,8 @@
   readonly #facts = new Map<string, JobFacts>();
   /** How long tasks really run, where that is not what their user reckons. */
   readonly #runS = new Map<string, number>();
+  /** Told of every task that starts. */
+  onStarted: (piece: string) => void = nothing;
   /** Told of every task that completes. */
   onCompleted: (piece: string) => void = nothing;
   readonly #machineFacts = new Map<string, MachineFacts>();
@@ -449,6 +451,7 @@
           facts: (job) => this.#facts.get(job),
           started: (piece, machine) => {
             this.rules.started(piece, machine);
+            this.onStarted(piece);
           },
           left: (piece, machine) => {
             this.rules.left(piece, machine);
