--- /dev/null
+++ b/test/formats.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Bitmap } from '../src/bookkeeping/bitmap';
+import { KEY, read } from '../src/bookkeeping/records';
+import { readPeerMessage, writePeerMessage, type PeerMessage } from '../src/protocol/peers';
+import production from './data/production-formats.json';
+import { keyPattern, type Samples } from './formats/samples';
+import { collectSamples } from './formats/scenario';
+import { valueShape, wireShape } from './formats/shape';
+
+/** Kinds of records that production doesn't know, with their fields. */
+const NEW_RECORDS: Record<string, string[]> = {
+  'live/format/NODE': ['.format: number', ': object', 'durable'],
+};
+/** Fields that production doesn't know, in kinds of records that it does; it drops them where it writes the record. */
+const NEW_FIELDS: Record<string, string[]> = {};
+/** Field numbers that production doesn't know, in messages between controllers. */
+const NEW_PEER_FIELDS: string[] = [];
+
+const samples: Samples = production;
+
+/** Each kind of record: how its reader is called, and the key that the present version would look under. */
+const KINDS: Record<string, { read(value: unknown): unknown; key(...parts: string[]): string }> = {
+  'live/leader': { read: read.leader, key: () => KEY.leader },
+  'live/baton': { read: read.baton, key: () => KEY.baton },
+  'live/types': { read: read.types, key: () => KEY.types },
+  'live/node/NODE': { read: read.node, key: (node = '') => KEY.node(node) },
+  'live/block/NUMBER': { read: read.block, key: (block) => KEY.block(Number(block)) },
+  'live/lease/NUMBER': { read: read.lease, key: (block) => KEY.lease(Number(block)) },
+  'live/machine/MACHINE': { read: read.machine, key: (id = '') => KEY.machine(id) },
+  'live/job/JOB': { read: read.job, key: (id = '') => KEY.job(id) },
+  'live/done/JOB/NUMBER': { read: read.done, key: (id = '', chunk) => KEY.done(id, Number(chunk)) },
+  // Only that it is there counts.
+  'live/keep/NUMBER/NODE': {
+    read: (value) => value,
+    key: (block, node = '') => KEY.keep(Number(block), node),
+  },
+  'final/JOB': { read: read.final, key: (id = '') => KEY.final(id) },
+};
+
+const keyParts = (key: string): string[] => key.split('/').slice(key.startsWith('final/') ? 1 : 2);
+
+/** The kinds of records with all their fields. */
+function recordShapes({ records }: Samples): Record<string, string[]> {
+  const shapes: Record<string, Set<string>> = {};
+  for (const { key, value, isHeldByLease } of records) {
+    const shape = (shapes[keyPattern(key)] ??= new Set());
+    for (const field of valueShape(value)) shape.add(field);
+    shape.add(isHeldByLease ? 'held by a lease' : 'durable');
+  }
+  return Object.fromEntries(Object.entries(shapes).map(([kind, shape]) => [kind, [...shape].sort()]));
+}
+
+/** The kinds of messages between controllers with all their field numbers, and what notices of changes carry. */
+function peerShapes({ peerMessages }: Samples): Record<string, string[]> {
+  const shapes: Record<string, Set<string>> = {};
+  for (const { base64, message } of peerMessages) {
+    const { kind, event } = message as { kind: string; event?: { key: string; value?: unknown } };
+    const shape = (shapes[event ? `${kind} ${keyPattern(event.key)}` : kind] ??= new Set());
+    for (const field of wireShape(Buffer.from(base64, 'base64'))) shape.add(field);
+    if (event && 'value' in event) for (const field of valueShape(event.value)) shape.add(field);
+  }
+  return Object.fromEntries(Object.entries(shapes).map(([kind, shape]) => [kind, [...shape].sort()]));
+}
+
+test('there is a sample of every kind of record and of peer message', () => {
+  const kinds = new Set(samples.records.map(({ key }) => keyPattern(key)));
+  assert.deepEqual([...kinds].sort(), Object.keys(KINDS).sort());
+  const messages = samples.peerMessages.map(({ message }) => message as PeerMessage);
+  assert.deepEqual([...new Set(messages.map(({ kind }) => kind))].sort(), [
+    'ask',
+    'nudge',
+    'progress',
+    'promise',
+  ]);
+  const fields = new Set(samples.peerMessages.flatMap((s) => wireShape(Buffer.from(s.base64, 'base64'))));
+  const numbers = [
+    '1.1',
+    '1.2',
+    '1.3',
+    '1.4',
+    '2.1.1',
+    '2.1.2',
+    '2.1.3',
+    '2.2',
+    '2.3',
+    '2.4',
+    '2.5.1',
+    '2.5.2',
+  ];
+  numbers.push('3.1', '3.2', '3.3', '4.1', '4.2', '4.3', '4.4.1', '4.4.2');
+  for (const number of numbers) {
+    assert.ok(
+      [...fields].some((field) => field.startsWith(`${number}:`)),
+      `no sample has field ${number}`,
+    );
+  }
+});
+
+test("production's records are found and read in full", () => {
+  for (const { key, value } of samples.records) {
+    const kind = KINDS[keyPattern(key)];
+    assert.ok(kind, key);
+    assert.equal(kind.key(...keyParts(key)), key);
+    assert.deepEqual(kind.read(value), value, key);
+  }
+});
+
+test("production's messages are read as production reads them, and written with the same bytes", () => {
+  for (const { base64, message } of samples.peerMessages) {
+    const bytes = Buffer.from(base64, 'base64');
+    assert.deepEqual(readPeerMessage(bytes), message);
+    const written = writePeerMessage(message as PeerMessage);
+    assert.equal(Buffer.from(written).toString('base64'), base64);
+  }
+});
+
+test("production's bitmaps are read and written bit for bit", () => {
+  for (const { tasks, done, chunks } of samples.bitmaps) {
+    const bitmap = new Bitmap(tasks);
+    assert.equal(bitmap.chunks, chunks.length);
+    const merged = chunks.flatMap((text, chunk) => bitmap.mergeChunk(chunk, text));
+    assert.deepEqual(merged, done);
+    assert.deepEqual(
+      chunks.map((_, chunk) => bitmap.encodeChunk(chunk)),
+      chunks,
+    );
+  }
+});
+
+test('what is written now has the keys, fields and field numbers of production', async () => {
+  const present = await collectSamples();
+  const expectedRecords = recordShapes(samples);
+  for (const [kind, fields] of Object.entries(NEW_FIELDS)) expectedRecords[kind]?.push(...fields);
+  for (const shape of Object.values(expectedRecords)) shape.sort();
+  assert.deepEqual(recordShapes(present), { ...expectedRecords, ...NEW_RECORDS });
+
+  const presentPeers = peerShapes(present);
+  for (const [kind, shape] of Object.entries(presentPeers)) {
+    presentPeers[kind] = shape.filter((field) => !NEW_PEER_FIELDS.includes(field));
+  }
+  assert.deepEqual(presentPeers, peerShapes(samples));
+});
