--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,7 +1,5 @@
 import assert from 'node:assert/strict';
-import { makeSettings } from '../../src/base/settings';
-import { Node } from '../../src/coordination/node';
-import { createRoutes } from '../../src/coordination/routes';
+import type { Node } from '../../src/coordination/node';
 import { codec } from '../../src/protocol/codec';
 import { readPeerMessage } from '../../src/protocol/peers';
 import type { Answer, HttpCaller } from '../../src/transport/http-client';
@@ -10,6 +8,7 @@
 import { Rules, Waits, type MachineFacts } from './rules';
 import { FakeStateService } from './state-service';
 import { submission } from './submission';
+import { createController, type Version } from './versions';
 import { FakeWorker, type JobFacts } from './worker';
 
 const STATE = '10.2.0.1:2379';
@@ -34,12 +33,22 @@
 
 export interface Controller {
   name: string;
+  version: Version;
   address: string;
   node: Node;
   process: Process;
   alive: boolean;
 }
 
+export interface WorldOptions {
+  limitCpus?: number;
+  operator?: Record<string, unknown>;
+  cpu?: number;
+  writeRps?: number;
+  /** The versions that the controllers start with; the present one where there is none. */
+  versions?: Version[];
+}
+
 /** A whole deployment in memory: controllers, state service, cloud and workers, with the rules watched throughout. */
 export class World {
   readonly clock = new FakeClock();
@@ -70,13 +79,11 @@
   /** Told of every task that completes. */
   onCompleted: (piece: string) => void = nothing;
   readonly #machineFacts = new Map<string, MachineFacts>();
-  readonly #options: { limitCpus?: number; operator?: Record<string, unknown>; writeRps?: number };
+  readonly #options: WorldOptions;
   #names = 0;
   #machines = 0;
 
-  constructor(
-    options: { limitCpus?: number; operator?: Record<string, unknown>; cpu?: number; writeRps?: number } = {},
-  ) {
+  constructor(options: WorldOptions = {}) {
     this.#options = options;
     this.cpu = options.cpu ?? this.cpu;
     this.rules = new Rules(this.clock, {
@@ -95,18 +102,20 @@
     });
     this.network.attach(STATE, (request) => this.state.handle(request));
     this.network.attach(CLOUD, (request) => this.#cloud(request));
-    for (let index = 0; index < 3; index += 1) this.#addController(index);
+    for (let index = 0; index < 3; index += 1) {
+      this.#addController(index, options.versions?.[index] ?? 'present');
+    }
   }
 
   get #nodes(): { name: string; address: string }[] {
     return [0, 1, 2].map((i) => ({ name: `node-${i}`, address: `10.0.0.${i + 1}:8080` }));
   }
 
-  #addController(index: number): void {
+  #addController(index: number, version: Version): void {
     const own = this.#nodes[index];
     assert(own);
-    const settings = makeSettings(
-      {
+    const settings = {
+      platform: {
         ...{ node: own.name, area: 'a', bind: own.address, back: `10.0.0.${index + 1}:8081` },
         others: [0, 1, 2]
           .filter((other) => other !== index)
@@ -124,8 +133,8 @@
           quota: { cpu: this.cpu },
         },
       },
-      this.#options.operator ?? {},
-    );
+      operator: this.#options.operator ?? {},
+    };
     const process = new Process(this.clock);
     const caller = this.network.caller(own.name);
     // What a process that was killed had under way ends with it.
@@ -133,11 +142,11 @@
       call: (...request) =>
         process.isKilled ? new Promise(() => undefined) : process.reached(caller.call(...request)),
     };
-    const node = new Node(settings, {
+    const outside = {
       clock: process,
       startedAt: this.clock.now(),
       random: {
-        uniqueName: () => {
+        uniqueName: (): string => {
           this.#names += 1;
           return `booking-${this.#names}`;
         },
@@ -145,7 +154,7 @@
       log: quiet,
       http: outwards,
       workers: outwards,
-      broadcast: (bytes) => {
+      broadcast: (bytes: Uint8Array): void => {
         if (process.isKilled || this.silencePeers || this.mutes.has(own.name)) return;
         if (this.lostPeerMessages.has(readPeerMessage(bytes)?.kind ?? '')) return;
         for (const other of this.controllers) {
@@ -158,9 +167,9 @@
           });
         }
       },
-    });
-    const routes = createRoutes(node, quiet);
-    const controller = { ...own, node, process, alive: true };
+    };
+    const { node, routes } = createController(version, settings, outside, quiet);
+    const controller = { ...own, version, node, process, alive: true };
     this.controllers[index] = controller;
     this.network.attach(own.address, async ({ method, path, body }) => {
       const [, head = '', id = '', verb = ''] = path.split('/');
@@ -187,9 +196,11 @@
     this.network.detach(controller.address);
   }
 
-  restart(index: number): void {
-    assert(this.controllers[index]?.alive === false);
-    this.#addController(index);
+  /** The controller comes up again, with the version that it had unless another is named. */
+  restart(index: number, version?: Version): void {
+    const controller = this.controllers[index];
+    assert(controller?.alive === false);
+    this.#addController(index, version ?? controller.version);
   }
 
   /** The controller's process stands still, while its clocks go on, until the function that is returned is called. */
