--- /dev/null
+++ b/test/format-gate.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FormatGate } from '../src/bookkeeping/format-gate';
+import { KEY, LIVE, RECORD_FORMAT } from '../src/bookkeeping/records';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
+import { HttpStateStore, StateRefused } from '../src/protocol/state';
+import { RateLimit } from '../src/transport/rate-limit';
+import { FakeClock } from './fakes/clock';
+import { FakeStateService } from './fakes/state-service';
+
+const CONTROLLERS = ['node-0', 'node-1', 'node-2'];
+const RATE = 1_000;
+const TIMEOUT_MS = 1_000;
+
+/** A state service, and the gates of controllers that use it, each with a copy of the records of its own. */
+class Deployment {
+  readonly #clock = new FakeClock();
+  readonly service = new FakeStateService(this.#clock);
+  readonly store = new HttpStateStore(
+    {
+      call: (to, method, path, body) => this.service.handle({ from: 'node', to, method, path, body }),
+    },
+    'state',
+    new RateLimit(this.#clock, RATE, RATE),
+    new RateLimit(this.#clock, RATE, RATE),
+    TIMEOUT_MS,
+  );
+
+  /** The gate of a controller whose copy of the records is as they are now, and stays so. */
+  async gate(node: string): Promise<FormatGate> {
+    const cache = new WatchCache(this.store, LIVE, this.#clock, 0, 0);
+    await cache.step();
+    return new FormatGate(node, CONTROLLERS, this.store, cache);
+  }
+
+  /** Puts a mark there as another version or an operator may have left it. */
+  async put(node: string, value: unknown): Promise<void> {
+    await this.store.txn([], [{ put: KEY.format(node), value }]);
+  }
+}
+
+test('the gate is open once the marks of all controllers are there, also when the copy lags behind', async () => {
+  const deployment = new Deployment();
+  const early = await deployment.gate('node-0');
+  for (const [count, node] of CONTROLLERS.entries()) {
+    assert.equal(await early.confirmOpen(), false, `${count} marks`);
+    assert.equal(await (await deployment.gate(node)).mark(), true);
+  }
+  assert.equal(early.isOpen, false);
+  assert.deepEqual(early.missing(), CONTROLLERS);
+  assert.equal(await early.confirmOpen(), true);
+  assert.equal(early.isOpen, true);
+  assert.equal((await deployment.gate('node-1')).isOpen, true);
+});
+
+test('a gate that was seen open stays open, whatever becomes of the marks or the state service', async () => {
+  const deployment = new Deployment();
+  for (const node of CONTROLLERS) await (await deployment.gate(node)).mark();
+  const gate = await deployment.gate('node-0');
+  assert.equal(gate.isOpen, true);
+  await deployment.store.txn([], [{ delete: KEY.format('node-2') }]);
+  deployment.service.outage(true);
+  assert.equal(gate.isOpen, true);
+  assert.equal(await gate.confirmOpen(), true);
+});
+
+test('without an answer from the state service the gate is not taken for open', async () => {
+  const deployment = new Deployment();
+  for (const node of CONTROLLERS.slice(1)) await (await deployment.gate(node)).mark();
+  const gate = await deployment.gate('node-0');
+  deployment.service.outage(true);
+  await assert.rejects(gate.confirmOpen(), StateRefused);
+  await assert.rejects(gate.mark(), StateRefused);
+  assert.equal(gate.isOpen, false);
+});
+
+test('marks of an older format, or unreadable ones, do not count, and are replaced by their own controller', async () => {
+  for (const value of [{ format: RECORD_FORMAT - 1 }, { format: 'new' }, {}, null, 'x']) {
+    const deployment = new Deployment();
+    for (const node of CONTROLLERS.slice(1)) await (await deployment.gate(node)).mark();
+    await deployment.put('node-0', value);
+    const gate = await deployment.gate('node-0');
+    assert.deepEqual(gate.missing(), ['node-0'], JSON.stringify(value));
+    assert.equal(await gate.confirmOpen(), false);
+    assert.equal(await gate.mark(), true);
+    assert.equal(await gate.confirmOpen(), true);
+  }
+});
+
+test('the mark of a newer format counts, and is not replaced', async () => {
+  const deployment = new Deployment();
+  const newer = { format: RECORD_FORMAT + 1 };
+  await deployment.put('node-0', newer);
+  const gate = await deployment.gate('node-0');
+  assert.equal(await gate.mark(), true);
+  assert.deepEqual(deployment.service.data.get(KEY.format('node-0'))?.data, newer);
+  assert.deepEqual(gate.missing(), ['node-1', 'node-2']);
+});
