Controllers obey the limits of the state service that the platform announces

The smaller of deployment.state and deployment.state.next is in force, field by field; check-config prints it. The fake state service enforces limits when told to.

--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod';
 import { paceFor, type Pace } from './pace';
 import { shareSockets, type SocketShares } from './sockets';
+import { limitsInForce, readNextLimits, type StateLimits } from './state-limits';
 
 /** A setting that can't be used; the message names the field and the file in one line. */
 export class SettingsError extends Error {
@@ -50,6 +51,8 @@
       write_rps: z.number().positive(),
       value_kb: z.number().positive(),
       txn_ops: z.int().min(8),
+      /** Limits that the service will have from some moment on; see `readNextLimits`. */
+      next: z.unknown().optional(),
     }),
     cloud: z.object({ rps: z.number().positive(), list_lag_s: z.number().min(0) }),
     quota: z.object({
@@ -76,11 +79,15 @@
   rent_patience: z.number().min(0).default(2),
 });
 
-export type PlatformSettings = z.infer<typeof platformSchema>;
+type PlatformFile = z.infer<typeof platformSchema>;
+export type PlatformSettings = Omit<PlatformFile, 'deployment'> & {
+  deployment: Omit<PlatformFile['deployment'], 'state'> & { state: StateLimits };
+};
 export type OperatorSettings = z.infer<typeof operatorSchema>;
 export type Objective = z.infer<typeof objective>;
 
 export interface Settings {
+  /** As the platform handed it over, except that `deployment.state` has the limits in force. */
   platform: PlatformSettings;
   operator: OperatorSettings;
   /** Longest time that a controller may act on a block without news from the state service. */
@@ -93,6 +100,8 @@
   sockets: SocketShares;
   /** What follows from the share of a core, and the operator's own word where there is one. */
   pace: Pace;
+  /** Lower limits of the state service that the platform has announced, when it has announced any. */
+  nextStateLimits: Partial<StateLimits> | undefined;
   /** What may not work out, by the name of the setting. */
   warnings: string[];
 }
@@ -168,19 +177,34 @@
     blocks: o.blocks ?? derived.blocks,
     roundBudgetMs: o.round_budget_ms ?? derived.roundBudgetMs,
   };
+  const { state } = p.deployment;
+  const next = readNextLimits(state.next);
+  const inForce = { ...p.deployment, state: limitsInForce(state, next?.limits) };
   const { mem_mb } = p.deployment.quota;
-  const warnings =
-    mem_mb < LEAST_MEMORY_MB
-      ? [
-          `${files[0]}: deployment.quota.mem_mb: ${mem_mb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
-        ]
-      : [];
+  const warnings: string[] = [];
+  if (mem_mb < LEAST_MEMORY_MB) {
+    warnings.push(
+      `${files[0]}: deployment.quota.mem_mb: ${mem_mb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
+    );
+  }
+  for (const name of next?.unusable ?? []) {
+    warnings.push(`${files[0]}: deployment.state.next.${name}: not a positive number; it is ignored`);
+  }
   const blockLeaseMs = Math.floor(wanted);
   // Within this time an owner has heard of a cancellation, or has stopped. At least 2.5 s are left, by the bound on the
   // block lease.
   const hearingMs = Math.max(blockLeaseMs, PROMISE_MS);
   const cancelDoubtMs = (cancel_s - lease_s) * 1000 - hearingMs - TURN_MARGIN_MS;
-  return { platform: p, operator: o, blockLeaseMs, cancelDoubtMs, sockets, pace, warnings };
+  return {
+    platform: { ...p, deployment: inForce },
+    operator: o,
+    blockLeaseMs,
+    cancelDoubtMs,
+    sockets,
+    pace,
+    nextStateLimits: next?.limits,
+    warnings,
+  };
 }
 
 export function readSettings(platformFile: string, operatorFile?: string): Settings {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -78,6 +78,8 @@
         blockLeaseMs: settings.blockLeaseMs,
         sockets: settings.sockets,
         pace: settings.pace,
+        stateLimits: deployment.state,
+        stateLimitsAnnounced: settings.nextStateLimits ?? null,
         warnings: settings.warnings,
       };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -1,5 +1,6 @@
 import { Wake } from '../base/clock';
 import { describe } from '../base/loop';
+import { changesAtOnce } from '../base/state-limits';
 import { KEY, type MachineRecord } from '../bookkeeping/records';
 import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
 import type { Guard } from '../protocol/state';
@@ -91,8 +92,8 @@
   }
 
   async #deleteRecords(): Promise<void> {
-    const { txn_ops } = this.deps.settings.platform.deployment.state;
-    const ids = [...this.#gone].slice(0, Math.min(RECORDS_DELETED_AT_ONCE, txn_ops));
+    const { state } = this.deps.settings.platform.deployment;
+    const ids = [...this.#gone].slice(0, changesAtOnce(state, RECORDS_DELETED_AT_ONCE));
     if (ids.length === 0) return;
     const result = await this.deps.store.txn(
       [this.fleet.leaseGuard()],
@@ -157,7 +158,8 @@
   async recordStep(signal: AbortSignal): Promise<void> {
     await this.#recordWake.wait(1000);
     while (this.#unrecorded.size > 0 && !signal.aborted && this.fleet.entitled) {
-      const batch = [...this.#unrecorded].slice(0, RECORDS_AT_ONCE);
+      const { state } = this.deps.settings.platform.deployment;
+      const batch = [...this.#unrecorded].slice(0, changesAtOnce(state, RECORDS_AT_ONCE));
       const changes = batch.map(([id, { type, zone, spot, rentedAt }]) => ({
         put: KEY.machine(id),
         value: {
--- a/src/coordination/up-records.ts
+++ b/src/coordination/up-records.ts
@@ -1,4 +1,5 @@
 import { describe } from '../base/loop';
+import { changesAtOnce } from '../base/state-limits';
 import { KEY, type MachineRecord } from '../bookkeeping/records';
 import type { Block } from './block';
 import type { Deps } from './deps';
@@ -44,7 +45,7 @@
     await this.deps.clock.sleep(GATHER_MS);
     while (this.#pending.size > 0) {
       const batch = [...this.#pending.values()]
-        .slice(0, Math.min(MOST_AT_ONCE, this.deps.settings.platform.deployment.state.txn_ops))
+        .slice(0, changesAtOnce(this.deps.settings.platform.deployment.state, MOST_AT_ONCE))
         .map((p) => p.waiting);
       const written = await this.#write(batch);
       for (const waiting of batch) {
--- a/test/fakes/state-service.ts
+++ b/test/fakes/state-service.ts
@@ -20,12 +20,25 @@
   apply: { set?: string; delete?: string; data?: unknown; hold?: number }[];
 }
 
+/** Limits that the service enforces; sizes are counted as JSON text. */
+export interface EnforcedLimits {
+  valueKb: number;
+  txnOps: number;
+  writeRps: number;
+}
+
+/** The protocol's own limits: bytes of a transaction, and conditions for each change allowed. */
+const MAX_TXN_BYTES = 64 * 1024;
+const GUARDS_PER_CHANGE = 4;
+
 /**
  * What becomes of a request besides being answered: it gets no answer and is carried out that much later, after newer
  * ones; only its answer is lost; its answer comes that much later; it is refused.
  */
 export type StateFate = { lateMs: number } | 'lose answer' | { slowMs: number } | 'refuse';
 
+const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
 const noAnswer = (): Promise<Answer> => new Promise(() => undefined);
 
 /** The state service by its published protocol, in memory. */
@@ -43,6 +56,14 @@
   largestValue = 0;
   /** Changes of the largest transaction. */
   largestTxn = 0;
+  /** Enforced from the moment that they are set; none before. */
+  limits: EnforcedLimits | undefined;
+  /** Why transactions were refused for their size, and who sent them. */
+  readonly oversized: string[] = [];
+  /** How many transactions were refused for the rate of changes. */
+  refusedByRate = 0;
+  #changesLeft = 0;
+  #changesFilledAt = -Infinity;
 
   constructor(private readonly clock: WorldClock) {}
 
@@ -88,7 +109,7 @@
     const [, head = '', ...rest] = url.pathname.split('/');
     if (head === 'store' && rest.length > 0) return this.#get(rest.join('/'));
     if (head === 'store') return this.#list(url.searchParams);
-    if (head === 'txn') return this.#txn(body as Txn);
+    if (head === 'txn') return this.#txn(from, body as Txn);
     if (head === 'changes') return this.#changes(from, url.searchParams);
     if (head === 'grants') return this.#grant(method, rest, body as { ttlMs: number });
     return { status: 400, body: null };
@@ -138,7 +159,41 @@
     for (const wake of watchers) wake();
   }
 
-  #txn({ guards, apply }: Txn): Answer {
+  /** Why a transaction is larger than the limits allow. */
+  #sizeFault({ guards, apply }: Txn): string | undefined {
+    if (!this.limits) return undefined;
+    const { valueKb, txnOps } = this.limits;
+    if (apply.length > txnOps) return `${apply.length} changes`;
+    if (guards.length > txnOps * GUARDS_PER_CHANGE) return `${guards.length} conditions`;
+    if (jsonBytes({ guards, apply }) > MAX_TXN_BYTES) return `${jsonBytes({ guards, apply })} bytes in total`;
+    const large = apply.find((op) => jsonBytes(op.data ?? null) > valueKb * 1024);
+    return large && `${large.set} has ${jsonBytes(large.data)} bytes`;
+  }
+
+  /** Takes the changes from what the rate allows; false when that is less. */
+  #takeChanges(count: number): boolean {
+    if (!this.limits || count === 0) return true;
+    const { writeRps } = this.limits;
+    const now = this.clock.now();
+    const gained = ((now - this.#changesFilledAt) / 1000) * writeRps;
+    this.#changesLeft = Math.min(writeRps, this.#changesLeft + gained);
+    this.#changesFilledAt = now;
+    if (count > this.#changesLeft) return false;
+    this.#changesLeft -= count;
+    return true;
+  }
+
+  #txn(from: string, { guards, apply }: Txn): Answer {
+    const fault = this.#sizeFault({ guards, apply });
+    if (fault !== undefined) {
+      this.oversized.push(`${from}: ${fault}`);
+      return { status: 400, body: { error: fault } };
+    }
+    // Also those whose conditions fail are counted.
+    if (!this.#takeChanges(apply.length)) {
+      this.refusedByRate += 1;
+      return { status: 429, body: null };
+    }
     if (apply.some((op) => op.hold !== undefined && !this.#grants.has(op.hold))) {
       return { status: 400, body: { error: 'no such lease' } };
     }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -40,6 +40,15 @@
   alive: boolean;
 }
 
+export interface WorldOptions {
+  limitCpus?: number;
+  operator?: Record<string, unknown>;
+  cpu?: number;
+  writeRps?: number;
+  /** Limits of the state service that the settings announce; see `FakeStateService.limits` for their coming into force. */
+  nextLimits?: Record<string, unknown>;
+}
+
 /** A whole deployment in memory: controllers, state service, cloud and workers, with the rules watched throughout. */
 export class World {
   readonly clock = new FakeClock();
@@ -70,13 +79,11 @@
   /** Told of every task that completes. */
   onCompleted: (piece: string) => void = nothing;
   readonly #machineFacts = new Map<string, MachineFacts>();
-  readonly #options: { limitCpus?: number; operator?: Record<string, unknown>; writeRps?: number };
+  readonly #options: WorldOptions;
   #names = 0;
   #machines = 0;
 
-  constructor(
-    options: { limitCpus?: number; operator?: Record<string, unknown>; cpu?: number; writeRps?: number } = {},
-  ) {
+  constructor(options: WorldOptions = {}) {
     this.#options = options;
     this.cpu = options.cpu ?? this.cpu;
     this.rules = new Rules(this.clock, {
@@ -119,7 +126,13 @@
             { name: 'blue', cpus: 8 },
           ],
           workers: { report_s: 0.8, lease_s: LEASE_S, cancel_s: CANCEL_S },
-          state: { rps: 200, write_rps: this.#options.writeRps ?? 100, value_kb: 16, txn_ops: 32 },
+          state: {
+            rps: 200,
+            write_rps: this.#options.writeRps ?? 100,
+            value_kb: 16,
+            txn_ops: 32,
+            next: this.#options.nextLimits,
+          },
           cloud: { rps: 5, list_lag_s: 2 },
           quota: { cpu: this.cpu },
         },
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -315,7 +315,7 @@
   };
   const known = { 'live/machine/host-2': 7 } as Record<string, number>;
   const cache = { version: (key: string) => known[key] ?? 0 };
-  const settings = { platform: { deployment: { state: { txn_ops: 32 } } } };
+  const settings = { platform: { deployment: { state: { txn_ops: 32, write_rps: 100 } } } };
   const deps = { cache, store, clock, settings, log: { info: () => undefined } } as unknown as Deps;
   const block = { leaseGuard: () => ({ key: 'live/lease/0', version: 3 }) } as unknown as Block;
   const upRecords = new UpRecords(block, deps);
