Completions and machine types are stored in parts where values must be small

Jobs whose chunks of completions exceed the limit on values are recorded in parts under live/bits/JOB/FIRST-END once every controller understands them; old chunks keep counting. The range is in the key, so that a part never replaces one of another length. The bitmap's chunk methods became encode and merge over ranges; its test covers the same ranges with the same assertions.

--- a/src/bookkeeping/bitmap.ts
+++ b/src/bookkeeping/bitmap.ts
@@ -1,7 +1,4 @@
-/** Tasks per record: their bits as base64 text stay well inside the smallest value limit (16 KiB). */
-export const CHUNK_TASKS = 65_536;
-
-/** Which tasks of a job are done, as it lies in the state service: one bit a task, in chunks. */
+/** Which tasks of a job are done, as it lies in the state service: one bit a task, in records for ranges of tasks. */
 export class Bitmap {
   readonly #bits: Uint8Array;
   #count = 0;
@@ -26,23 +23,24 @@
     return true;
   }
 
-  get chunks(): number {
-    return Math.ceil(this.size / CHUNK_TASKS);
-  }
-
-  encodeChunk(chunk: number): string {
-    const from = (chunk * CHUNK_TASKS) / 8;
-    return Buffer.from(this.#bits.subarray(from, from + CHUNK_TASKS / 8)).toString('base64');
+  /** The bits from `first`, a multiple of 8, up to `end`, with those of `more` set too; it does not change itself. */
+  encode(first: number, end: number, more: readonly number[] = []): string {
+    const bytes = Buffer.from(this.#bits.subarray(first / 8, Math.ceil(end / 8)));
+    for (const index of more) {
+      const byte = (index - first) >> 3;
+      bytes[byte] = (bytes[byte] ?? 0) | (1 << (index & 7));
+    }
+    return bytes.toString('base64');
   }
 
-  /** Adds the bits of a chunk; returns the tasks that are new. */
-  mergeChunk(chunk: number, text: string): number[] {
+  /** Adds bits that begin at `first`, however many they are; returns the tasks that are new. */
+  merge(first: number, text: string): number[] {
     const bytes = Buffer.from(text, 'base64');
     const added: number[] = [];
     for (let byte = 0; byte < bytes.length; byte += 1) {
       const value = bytes[byte] ?? 0;
       for (let bit = 0; value >> bit !== 0; bit += 1) {
-        const index = chunk * CHUNK_TASKS + byte * 8 + bit;
+        const index = first + byte * 8 + bit;
         if ((value >> bit) & 1 && this.set(index)) added.push(index);
       }
     }
--- /dev/null
+++ b/src/bookkeeping/completion-records.ts
@@ -0,0 +1,117 @@
+import { KEY, PREFIX, read } from './records';
+
+/**
+ * Which records the completions of a job are written to. There are two layouts:
+ *
+ * - chunks, `live/done/JOB/CHUNK`, of 65,536 tasks each: the only one that format 1 knows;
+ * - parts, `live/bits/JOB/FIRST-END`, as long as the limit on values allows, for jobs whose chunks don't fit it.
+ *
+ * Records of both layouts, and parts of different lengths, may lie side by side for one job: a task is done when any of
+ * them says so. Since a part's range is in its key, a part never replaces one of another length.
+ */
+
+/** Tasks of a chunk. Part of the stored format. */
+export const CHUNK_TASKS = 65_536;
+/** Room in a value for the text around the bits. */
+const OVERHEAD_BYTES = 64;
+
+export type CompletionLayout = { kind: 'chunks' } | { kind: 'parts'; partTasks: number };
+
+/** A job, as far as its completion records depend on it. */
+export interface RecordedJob {
+  id: string;
+  tasks: number;
+}
+
+/** The record that holds the completions of the tasks from `first` up to `end`, not included. */
+export interface CompletionRecord {
+  key: string;
+  first: number;
+  end: number;
+}
+
+/** A record and those tasks, completed and not recorded yet, that belong into it. */
+export interface RecordGroup {
+  record: CompletionRecord;
+  tasks: number[];
+}
+
+/** What was read from a completion record. */
+export interface StoredCompletions {
+  job: string;
+  first: number;
+  bits: string;
+}
+
+/** How many tasks' bits fit one value, as base64 text; a multiple of 8. */
+function tasksPerValue(valueBytes: number): number {
+  const textBytes = Math.max(4, valueBytes - OVERHEAD_BYTES);
+  return Math.floor(textBytes / 4) * 3 * 8;
+}
+
+/** `mayUseParts`: whether every controller understands parts. */
+export function completionLayout(
+  job: RecordedJob,
+  valueBytes: number,
+  mayUseParts: boolean,
+): CompletionLayout {
+  const partTasks = tasksPerValue(valueBytes);
+  const chunksFit = Math.min(job.tasks, CHUNK_TASKS) <= partTasks;
+  return chunksFit || !mayUseParts ? { kind: 'chunks' } : { kind: 'parts', partTasks };
+}
+
+/** The record that a task's completion is written to. */
+export function completionRecord(job: RecordedJob, task: number, layout: CompletionLayout): CompletionRecord {
+  return recordAt(job, Math.floor(task / tasksPerRecord(layout)), layout);
+}
+
+function tasksPerRecord(layout: CompletionLayout): number {
+  return layout.kind === 'chunks' ? CHUNK_TASKS : layout.partTasks;
+}
+
+function recordAt(job: RecordedJob, index: number, layout: CompletionLayout): CompletionRecord {
+  const length = tasksPerRecord(layout);
+  const first = index * length;
+  const end = Math.min(first + length, job.tasks);
+  const key = layout.kind === 'chunks' ? KEY.done(job.id, index) : KEY.bits(job.id, first, end);
+  return { key, first, end };
+}
+
+/** Sorts completed tasks into their records, in the order in which the records first occur. */
+export function groupByRecord(
+  job: RecordedJob,
+  completed: Iterable<number>,
+  layout: CompletionLayout,
+): RecordGroup[] {
+  const length = tasksPerRecord(layout);
+  const groups = new Map<number, RecordGroup>();
+  for (const task of completed) {
+    const index = Math.floor(task / length);
+    const group = groups.get(index);
+    if (group) group.tasks.push(task);
+    else groups.set(index, { record: recordAt(job, index, layout), tasks: [task] });
+  }
+  return [...groups.values()];
+}
+
+/** The prefixes of all completion records. */
+export const COMPLETION_PREFIXES = [PREFIX.done, PREFIX.bits] as const;
+
+export function isCompletionKey(key: string): boolean {
+  return COMPLETION_PREFIXES.some((prefix) => key.startsWith(prefix));
+}
+
+/** The job that a completion record belongs to. */
+export function jobOfCompletionKey(key: string): string {
+  return key.split('/')[2] ?? '';
+}
+
+/** Reads a record of either layout; undefined when it is none. */
+export function readCompletions(key: string, value: unknown): StoredCompletions | undefined {
+  const bits = read.done(value)?.bits;
+  const position = /^live\/(done|bits)\/([^/]+)\/(\d+)(-\d+)?$/.exec(key);
+  const [, prefix, job, number] = position ?? [];
+  if (bits === undefined || job === undefined) return undefined;
+  const first = Number(number) * (prefix === 'done' ? CHUNK_TASKS : 1);
+  return { job, first, bits };
+}
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -15,6 +15,7 @@
   leader: 'live/leader',
   baton: 'live/baton',
   types: 'live/types',
+  typesPart: (part: number) => `live/types-part/${part}`,
   node: (node: string) => `live/node/${node}`,
   /** The record format that a controller understands; durable, see `FormatGate`. */
   format: (node: string) => `live/format/${node}`,
@@ -23,6 +24,8 @@
   machine: (id: string) => `live/machine/${id}`,
   job: (id: string) => `live/job/${id}`,
   done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
+  /** Completions of the tasks from `first` up to `end`, not included. */
+  bits: (id: string, first: number, end: number) => `live/bits/${id}/${first}-${end}`,
   /** A node that does not own the block keeps the leases of workers which reach it and not the owner. */
   keep: (block: number, node: string) => `live/keep/${block}/${node}`,
   final: (id: string) => `final/${id}`,
@@ -32,6 +35,8 @@
   machine: 'live/machine/',
   job: 'live/job/',
   done: 'live/done/',
+  bits: 'live/bits/',
+  typesPart: 'live/types-part/',
   keep: 'live/keep/',
 };
 
@@ -67,21 +72,25 @@
   job: z.custom<Job>((v) => typeof v === 'object' && v !== null && 'id' in v && 'tasks' in v),
   submittedAt: z.number(),
 });
-const typesRecord = z.object({
-  types: z.array(
-    z.object({
-      name: z.string(),
-      cpus: z.number(),
-      gpus: z.number(),
-      memoryGb: z.number(),
-      cacheGb: z.number(),
-      fetchGbPerS: z.number(),
-      price: z.number(),
-      spotPrice: z.number(),
-      bootS: z.number(),
-      zones: z.array(z.string()),
-    }),
-  ),
+const machineType = z.object({
+  name: z.string(),
+  cpus: z.number(),
+  gpus: z.number(),
+  memoryGb: z.number(),
+  cacheGb: z.number(),
+  fetchGbPerS: z.number(),
+  price: z.number(),
+  spotPrice: z.number(),
+  bootS: z.number(),
+  zones: z.array(z.string()),
+});
+const typesRecord = z.object({ types: z.array(machineType) });
+const typesPartRecord = z.object({
+  /** Which writing of all parts this one belongs to. */
+  edition: z.int().min(1),
+  /** How many parts there are in all. */
+  of: z.int().min(1),
+  types: z.array(machineType),
 });
 
 export type NodeRecord = z.infer<typeof nodeRecord>;
@@ -110,4 +119,5 @@
   done: reader(doneRecord),
   job: reader(jobRecord),
   types: reader(typesRecord),
+  typesPart: reader(typesPartRecord),
 };
--- /dev/null
+++ b/src/bookkeeping/type-records.ts
@@ -0,0 +1,136 @@
+import type { MachineType } from '../protocol/model';
+import type { Change, Guard, StateStore } from '../protocol/state';
+import { KEY, PREFIX, read } from './records';
+import type { WatchCache } from './watch-cache';
+
+/**
+ * The record of machine types, from which a node that starts while the cloud is down learns them. It is one record, or,
+ * when that would not fit one value, several parts that each hold some of the types. Parts of one writing have the same
+ * edition; they count only when all of them are there.
+ */
+
+/** Room in a value for the text around the list of types. */
+const OVERHEAD_BYTES = 64;
+
+/** What bounds the writing of the types. */
+export interface TypeRecordLimits {
+  valueBytes: number;
+  /** Changes of one transaction. */
+  changes: number;
+  /** Whether every controller understands parts. */
+  mayUseParts: boolean;
+}
+
+interface TypesPart {
+  edition: number;
+  of: number;
+  types: MachineType[];
+}
+
+/** One transaction of those that write the types. */
+interface Batch {
+  guards: Guard[];
+  changes: Change[];
+}
+
+type Records = Pick<WatchCache, 'get' | 'under' | 'version'>;
+
+export function isTypesKey(key: string): boolean {
+  return key === KEY.types || key.startsWith(PREFIX.typesPart);
+}
+
+/** The types as they are stored: the parts if all are there, else the one record. */
+export function readTypes(records: Records): readonly MachineType[] | undefined {
+  return readParts(records)?.types ?? read.types(records.get(KEY.types)?.value)?.types;
+}
+
+/** Writes the types unless they are stored already. */
+export async function storeTypes(
+  types: readonly MachineType[],
+  records: Records,
+  store: StateStore,
+  limits: TypeRecordLimits,
+): Promise<void> {
+  for (const { guards, changes } of typeBatches(types, records, limits)) {
+    const result = await store.txn(guards, changes);
+    if (!result.ok) return;
+  }
+}
+
+/** The transactions that store the types; none when they are stored already, or can't be. */
+export function typeBatches(
+  types: readonly MachineType[],
+  records: Records,
+  limits: TypeRecordLimits,
+): Batch[] {
+  if (types.length === 0) return [];
+  const stored = readParts(records);
+  const known = stored ?? read.types(records.get(KEY.types)?.value);
+  if (JSON.stringify(known?.types) === JSON.stringify(types)) return [];
+  const fitsOne = jsonBytes({ types }) <= limits.valueBytes;
+  // Once there are parts they are what is read, and stay what is written.
+  if (stored === undefined && (fitsOne || !limits.mayUseParts)) {
+    const guard = { key: KEY.types, version: records.version(KEY.types) };
+    return [{ guards: [guard], changes: [{ put: KEY.types, value: { types } }] }];
+  }
+  const lists = split(types, limits.valueBytes - OVERHEAD_BYTES);
+  if (lists === undefined) return [];
+  return batchesOfParts(lists, records, limits.changes);
+}
+
+function readParts(records: Records): TypesPart | undefined {
+  const first = read.typesPart(records.get(KEY.typesPart(0))?.value);
+  if (!first) return undefined;
+  const types: MachineType[] = [];
+  for (let number = 0; number < first.of; number += 1) {
+    const part = read.typesPart(records.get(KEY.typesPart(number))?.value);
+    if (part?.edition !== first.edition) return undefined;
+    types.push(...part.types);
+  }
+  return { edition: first.edition, of: first.of, types };
+}
+
+/** Splits the list so that each part fits; undefined when a single type doesn't. */
+function split(types: readonly MachineType[], bytes: number): MachineType[][] | undefined {
+  const lists: MachineType[][] = [];
+  let list: MachineType[] = [];
+  for (const type of types) {
+    if (jsonBytes([type]) > bytes) return undefined;
+    if (jsonBytes([...list, type]) > bytes) {
+      lists.push(list);
+      list = [];
+    }
+    list.push(type);
+  }
+  lists.push(list);
+  return lists;
+}
+
+function batchesOfParts(lists: MachineType[][], records: Records, changesAtOnce: number): Batch[] {
+  const stored = [...records.under(PREFIX.typesPart)];
+  const editions = stored.map((entry) => read.typesPart(entry.value)?.edition ?? 0);
+  const edition = Math.max(0, ...editions) + 1;
+  const puts = lists.map((types, number) => ({
+    put: KEY.typesPart(number),
+    value: { edition, of: lists.length, types } satisfies TypesPart,
+  }));
+  const written = new Set(puts.map(({ put }) => put));
+  const left = stored.filter(({ key }) => !written.has(key));
+  const changes: Change[] = [...puts, ...left.map(({ key }) => ({ delete: key }))];
+  const batches: Batch[] = [];
+  for (let from = 0; from < changes.length; from += changesAtOnce) {
+    const batch = changes.slice(from, from + changesAtOnce);
+    const guards = batch.map((change) => guardOf(change, records));
+    batches.push({ guards, changes: batch });
+  }
+  return batches;
+}
+
+function guardOf(change: Change, records: Records): Guard {
+  const key = 'put' in change ? change.put : change.delete;
+  return { key, version: records.version(key) };
+}
+
+function jsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -1,3 +1,4 @@
+import { COMPLETION_PREFIXES, readCompletions } from '../bookkeeping/completion-records';
 import { KEY, PREFIX, read, type MachineRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
 import type { Deps } from './deps';
@@ -57,7 +58,9 @@
       leaseMs: lease_s * 1000,
     };
     for (const entry of deps.cache.under(PREFIX.job)) this.loadJob(entry.value, entry.version);
-    for (const entry of deps.cache.under(PREFIX.done)) this.#loadDone(entry.key, entry.value, entry.version);
+    for (const prefix of COMPLETION_PREFIXES) {
+      for (const entry of deps.cache.under(prefix)) this.#loadDone(entry.key, entry.value, entry.version);
+    }
     for (const entry of deps.cache.under(PREFIX.machine)) this.loadMachine(entry.key, entry.value);
   }
 
@@ -77,10 +80,8 @@
   }
 
   #loadDone(key: string, value: unknown, version: number): void {
-    const [id, chunk] = key.slice(PREFIX.done.length).split('/');
-    const bits = read.done(value)?.bits;
-    const table = this.tables.get(id ?? '');
-    if (bits !== undefined) table?.mergeRecorded(Number(chunk), bits, version);
+    const stored = readCompletions(key, value);
+    if (stored) this.tables.get(stored.job)?.mergeRecorded(key, stored, version);
   }
 
   loadMachine(key: string, value: unknown): void {
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/dispatch-table.ts
@@ -1,4 +1,5 @@
 import { Bitmap } from '../bookkeeping/bitmap';
+import type { CompletionRecord, StoredCompletions } from '../bookkeeping/completion-records';
 import type { JobRecord } from '../bookkeeping/records';
 import type { Job } from '../protocol/model';
 
@@ -23,8 +24,8 @@
   readonly submittedAt: number;
   /** What the state service has acknowledged. */
   readonly recorded: Bitmap;
-  /** Versions of the bitmap's chunks in the state service. */
-  readonly chunkVersions: number[];
+  /** Versions of the job's completion records in the state service, by their keys. */
+  readonly recordVersions = new Map<string, number>();
   /** Done by a worker's word, not yet recorded. */
   readonly unrecorded = new Set<number>();
   /** The attempt that each issued task is on. */
@@ -47,7 +48,6 @@
     this.job = record.job;
     this.submittedAt = record.submittedAt;
     this.recorded = new Bitmap(this.job.tasks);
-    this.chunkVersions = new Array<number>(this.recorded.chunks).fill(0);
     this.#states = new Uint8Array(this.job.tasks);
     this.#unassigned = this.job.tasks;
   }
@@ -101,11 +101,11 @@
     return true;
   }
 
-  /** Takes in what the state service has recorded for a chunk. */
-  mergeRecorded(chunk: number, bits: string, version: number): void {
-    if (version <= (this.chunkVersions[chunk] ?? 0)) return;
-    this.chunkVersions[chunk] = version;
-    for (const task of this.recorded.mergeChunk(chunk, bits)) {
+  /** Takes in a completion record that the state service has. */
+  mergeRecorded(key: string, { first, bits }: StoredCompletions, version: number): void {
+    if (version <= (this.recordVersions.get(key) ?? 0)) return;
+    this.recordVersions.set(key, version);
+    for (const task of this.recorded.merge(first, bits)) {
       this.unrecorded.delete(task);
       this.#setDone(task);
     }
@@ -119,12 +119,9 @@
     }
   }
 
-  /** A chunk of the bitmap with all completions known, recorded or not. */
-  encodeChunk(chunk: number): string {
-    const all = new Bitmap(this.job.tasks);
-    all.mergeChunk(chunk, this.recorded.encodeChunk(chunk));
-    for (const task of this.unrecorded) all.set(task);
-    return all.encodeChunk(chunk);
+  /** The bits of a completion record: what is recorded of its tasks already, and these. */
+  encodeRecord({ first, end }: CompletionRecord, tasks: readonly number[]): string {
+    return this.recorded.encode(first, end, tasks);
   }
 
   #setDone(task: number): void {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,6 @@
+import { changesAtOnce } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
+import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../bookkeeping/completion-records';
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
 import type { CloudView } from './cloud-view';
@@ -137,7 +139,7 @@
       .machines()
       .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
       .filter((m) => !this.cloud.isGone(m.id))
-      .slice(0, Math.min(STRAYS_AT_ONCE, settings.platform.deployment.state.txn_ops));
+      .slice(0, changesAtOnce(settings.platform.deployment.state, STRAYS_AT_ONCE));
     const leadership = this.#leadership();
     if (strays.length === 0 || !leadership) return;
     const machinesOf = new Map<number, number>();
@@ -170,12 +172,9 @@
    * proved inside the transaction; a job that is over never comes back.
    */
   async #sweep(): Promise<void> {
-    const { cache, store } = this.deps;
-    const orphans: { key: string; version: number; job: string }[] = [];
-    for (const { key, version } of cache.under(PREFIX.done)) {
-      const job = KEY.job(key.slice(PREFIX.done.length, key.lastIndexOf('/')));
-      if (!cache.get(job) && orphans.push({ key, version, job }) === SWEPT_AT_ONCE) break;
-    }
+    const { store, settings } = this.deps;
+    const most = changesAtOnce(settings.platform.deployment.state, SWEPT_AT_ONCE);
+    const orphans = this.#orphans().slice(0, most);
     if (orphans.length === 0) return;
     await store.txn(
       orphans.flatMap(({ key, version, job }) => [
@@ -185,4 +184,12 @@
       orphans.map(({ key }) => ({ delete: key })),
     );
   }
+
+  /** Completion records of jobs that are over, as far as this node's copy of the records tells. */
+  #orphans(): { key: string; version: number; job: string }[] {
+    const { cache } = this.deps;
+    return COMPLETION_PREFIXES.flatMap((prefix) => [...cache.under(prefix)])
+      .map(({ key, version }) => ({ key, version, job: KEY.job(jobOfCompletionKey(key)) }))
+      .filter(({ job }) => cache.get(job) === undefined);
+  }
 }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -4,11 +4,14 @@
 import { runLoop } from '../base/loop';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import { changesAtOnce, valueBytes } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
+import { isCompletionKey } from '../bookkeeping/completion-records';
 import { FormatGate } from '../bookkeeping/format-gate';
 import { EndedJobs } from '../bookkeeping/ended-jobs';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
+import { isTypesKey, readTypes, storeTypes } from '../bookkeeping/type-records';
 import { Session } from '../bookkeeping/session';
 import { WatchCache } from '../bookkeeping/watch-cache';
 import { Cloud } from '../protocol/cloud';
@@ -282,8 +285,8 @@
     if (key.startsWith(PREFIX.keep)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
-    } else if (!key.startsWith(PREFIX.done) && !key.startsWith(PREFIX.machine)) {
-      if (key === KEY.types) this.#types = read.types(event.value)?.types ?? this.#types;
+    } else if (!isCompletionKey(key) && !key.startsWith(PREFIX.machine)) {
+      if (isTypesKey(key)) this.#types = readTypes(this.#cache) ?? this.#types;
       this.#leaderWake.wake();
       this.#ownerWake.wake();
     }
@@ -386,7 +389,7 @@
   }
 
   async #refreshTypes(signal: AbortSignal): Promise<void> {
-    const { cache, store, clock, cloud } = this.#deps;
+    const { cache, store, clock, cloud, formatGate } = this.#deps;
     if (!cache.loaded) {
       await clock.sleep(20, signal);
       return;
@@ -395,13 +398,12 @@
     if (this.#types.length === 0 || this.#leader.isLeader) {
       const types = await cloud.types();
       this.#types = types;
-      const known = cache.get(KEY.types);
-      if (types.length > 0 && JSON.stringify(known?.value) !== JSON.stringify({ types })) {
-        await store.txn(
-          [{ key: KEY.types, version: known?.version ?? 0 }],
-          [{ put: KEY.types, value: { types } }],
-        );
-      }
+      const { state } = this.settings.platform.deployment;
+      await storeTypes(types, cache, store, {
+        valueBytes: valueBytes(state),
+        changes: changesAtOnce(state),
+        mayUseParts: formatGate.isOpen,
+      });
       this.#ownerWake.wake();
     }
     await clock.sleep(TYPES_REFRESH_MS, signal);
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -1,7 +1,8 @@
 import { Wake } from '../base/clock';
-import { CHUNK_TASKS } from '../bookkeeping/bitmap';
+import { changesAtOnce, valueBytes } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
-import { KEY, read } from '../bookkeeping/records';
+import { completionLayout, groupByRecord, readCompletions } from '../bookkeeping/completion-records';
+import { KEY } from '../bookkeeping/records';
 import type { Change, Guard } from '../protocol/state';
 import type { Deps } from './deps';
 import type { DispatchTable } from './dispatch-table';
@@ -21,7 +22,8 @@
 interface Part {
   table: DispatchTable;
   tasks: number[];
-  chunks: number[];
+  /** Keys of the completion records that it writes or deletes. */
+  recordKeys: string[];
   final: boolean;
   guards: Guard[];
   changes: Change[];
@@ -79,14 +81,15 @@
    * most of the limit on changes to what users ask for, those that have waited longest first.
    */
   #collect(now: number): Part[] {
-    const { txn_ops, write_rps } = this.deps.settings.platform.deployment.state;
+    const { state } = this.deps.settings.platform.deployment;
+    const mostChanges = changesAtOnce(state);
     const { flush_ms } = this.deps.settings.operator;
     const blocks = blockCount(this.deps.cache, this.deps.settings);
     const dirty = [...this.block.tables.values()].filter((t) => t.unrecorded.size > 0);
     const complete = dirty.filter((t) => t.remaining === 0);
     const others = now - this.#bitmapsAt < flush_ms ? [] : dirty.filter((t) => t.remaining > 0);
     others.sort((a, b) => a.recordedAt - b.recordedAt);
-    let bitmaps = Math.max(1, Math.floor(((write_rps * BITMAPS_PART) / blocks) * (flush_ms / 1000)));
+    let bitmaps = Math.max(1, Math.floor(((state.write_rps * BITMAPS_PART) / blocks) * (flush_ms / 1000)));
     if (others.length > 0) this.#bitmapsAt = now;
     const parts: Part[] = [];
     let changes = 0;
@@ -94,13 +97,13 @@
     for (const table of [...complete, ...others]) {
       const isFinal = table.remaining === 0;
       if (!isFinal && bitmaps <= 0) break;
-      const part = isFinal ? this.#finalPart(table) : this.#bitmapPart(table);
+      const part = isFinal ? this.#finalPart(table) : this.#bitmapPart(table, bitmaps);
       const size = part.changes.reduce(
         (sum, c) => sum + ('put' in c ? JSON.stringify(c.value).length : 0),
         0,
       );
-      if (parts.length > 0 && (changes + part.changes.length > txn_ops || bytes + size > MAX_VALUE_BYTES))
-        break;
+      const isTooMuch = changes + part.changes.length > mostChanges || bytes + size > MAX_VALUE_BYTES;
+      if (parts.length > 0 && isTooMuch) break;
       parts.push(part);
       table.recordedAt = now;
       changes += part.changes.length;
@@ -121,25 +124,38 @@
       { put: KEY.final(id), value: { state: 'done', done: table.job.tasks } },
       { delete: KEY.job(id) },
     ];
-    table.chunkVersions.forEach((version, chunk) => {
-      if (version === 0) return;
-      guards.push({ key: KEY.done(id, chunk), version });
-      changes.push({ delete: KEY.done(id, chunk) });
-    });
-    return { table, tasks: [...table.unrecorded], chunks: [], final: true, guards, changes };
+    // What doesn't fit is left to the leader, which deletes completions of jobs that are over.
+    const { state } = this.deps.settings.platform.deployment;
+    const room = Math.max(0, changesAtOnce(state) - changes.length);
+    const deleted = [...table.recordVersions].slice(0, room);
+    for (const [key, version] of deleted) {
+      guards.push({ key, version });
+      changes.push({ delete: key });
+    }
+    const recordKeys = deleted.map(([key]) => key);
+    return { table, tasks: [...table.unrecorded], recordKeys, final: true, guards, changes };
   }
 
-  #bitmapPart(table: DispatchTable): Part {
-    const { id } = table.job;
-    const tasks = [...table.unrecorded];
-    const chunks = [...new Set(tasks.map((task) => Math.floor(task / CHUNK_TASKS)))];
-    const guards: Guard[] = [{ key: KEY.job(id), version: table.version }];
+  /** Records completions in at most so many records, those first whose completions have waited longest. */
+  #bitmapPart(table: DispatchTable, mostRecords: number): Part {
+    const { job } = table;
+    const { state } = this.deps.settings.platform.deployment;
+    const bytes = valueBytes(state);
+    const fitting = Math.max(1, Math.floor(MAX_VALUE_BYTES / bytes));
+    const layout = completionLayout(job, bytes, this.deps.formatGate.isOpen);
+    const groups = groupByRecord(job, table.unrecorded, layout).slice(
+      0,
+      Math.min(changesAtOnce(state, mostRecords), fitting),
+    );
+    const guards: Guard[] = [{ key: KEY.job(job.id), version: table.version }];
     const changes: Change[] = [];
-    for (const chunk of chunks) {
-      guards.push({ key: KEY.done(id, chunk), version: table.chunkVersions[chunk] ?? 0 });
-      changes.push({ put: KEY.done(id, chunk), value: { bits: table.encodeChunk(chunk) } });
+    for (const { record, tasks } of groups) {
+      guards.push({ key: record.key, version: table.recordVersions.get(record.key) ?? 0 });
+      changes.push({ put: record.key, value: { bits: table.encodeRecord(record, tasks) } });
     }
-    return { table, tasks, chunks, final: false, guards, changes };
+    const tasks = groups.flatMap((group) => group.tasks);
+    const recordKeys = groups.map((group) => group.record.key);
+    return { table, tasks, recordKeys, final: false, guards, changes };
   }
 
   async #write(parts: Part[]): Promise<boolean> {
@@ -160,7 +176,7 @@
         this.deps.announce({ key: KEY.job(id), version: result.revision, deleted: true });
         this.block.closeJob(id);
       } else {
-        for (const chunk of part.chunks) part.table.chunkVersions[chunk] = result.revision;
+        for (const key of part.recordKeys) part.table.recordVersions.set(key, result.revision);
         part.table.confirm(part.tasks);
       }
     }
@@ -174,17 +190,17 @@
    */
   async #settle(parts: Part[], failed: string[]): Promise<void> {
     const keys = new Set(failed);
-    for (const { table } of parts) {
+    for (const { table, recordKeys } of parts) {
       const { id } = table.job;
       if (keys.has(KEY.job(id)) || keys.has(KEY.final(id))) {
         if (!(await this.deps.store.get(KEY.job(id)))) this.block.closeJob(id);
         continue;
       }
-      for (let chunk = 0; chunk < table.chunkVersions.length; chunk += 1) {
-        if (!keys.has(KEY.done(id, chunk))) continue;
-        const entry = await this.deps.store.get(KEY.done(id, chunk));
-        const bits = read.done(entry?.value)?.bits;
-        if (entry && bits !== undefined) table.mergeRecorded(chunk, bits, entry.version);
+      for (const key of recordKeys) {
+        if (!keys.has(key)) continue;
+        const entry = await this.deps.store.get(key);
+        const stored = readCompletions(key, entry?.value);
+        if (entry && stored) table.mergeRecorded(key, stored, entry.version);
       }
     }
     this.block.recordedMore();
--- a/test/jobs.test.ts
+++ b/test/jobs.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Bitmap } from '../src/bookkeeping/bitmap';
+import { CHUNK_TASKS } from '../src/bookkeeping/completion-records';
 import { submission } from './fakes/submission';
 import { World } from './fakes/world';
 
@@ -121,10 +122,10 @@
   for (let task = 0; task < 100_000; task += 1) if (task % 3 !== 0) bitmap.set(task);
   assert.equal(bitmap.set(1), false);
   const copy = new Bitmap(100_000);
-  for (let chunk = 0; chunk < bitmap.chunks; chunk += 1) {
-    const text = bitmap.encodeChunk(chunk);
+  for (let first = 0; first < 100_000; first += CHUNK_TASKS) {
+    const text = bitmap.encode(first, first + CHUNK_TASKS);
     assert.ok(JSON.stringify({ bits: text }).length <= 16 * 1024);
-    copy.mergeChunk(chunk, text);
+    copy.merge(first, text);
   }
   assert.equal(copy.count, bitmap.count);
   for (const task of [0, 1, 65_535, 65_536, 65_537, 99_999]) assert.equal(copy.has(task), task % 3 !== 0);
