--- a/src/bookkeeping/dependency-tracker.ts
+++ b/src/bookkeeping/dependency-tracker.ts
@@ -148,7 +148,9 @@
     for (const id of [...this.#unread]) if (!this.graph.isDependency(id)) this.#unread.delete(id);
     const due = [...this.#unread];
     for (let from = 0; from < due.length; from += READS_AT_ONCE) {
-      await Promise.all(due.slice(from, from + READS_AT_ONCE).map((id) => this.finals.read(id)));
+      const batch = due.slice(from, from + READS_AT_ONCE).filter((id) => this.#unread.has(id));
+      // One that can't be read holds up no other; it is tried again in the next step.
+      await Promise.allSettled(batch.map((id) => this.finals.read(id)));
     }
   }
 }
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -66,6 +66,9 @@
     if (waits && (await this.context.dependencies.isCondemned(id))) return this.cancel(id, 0);
     const status: JobStatus = { id, state: 'queued', done: 0, running: 0 };
     if (!waits) return status;
+    // It may have been cancelled meanwhile, by the leader or for another question.
+    const ended = this.context.dependencies.graph.has(id) ? undefined : await this.#findFinal(id);
+    if (ended) return ended;
     return { ...status, unfinishedDependencies: this.context.dependencies.unfinishedDependencies(id) };
   }
 
@@ -120,7 +123,7 @@
         value: record,
         deleted: false,
       });
-      return { isNew: true, status: await this.#statusOfAccepted(job) };
+      return { isNew: true, status: await this.#statusOfAccepted(checked) };
     }
     const status = await this.find(job.id);
     if (status) return { isNew: false, status };
@@ -145,8 +148,8 @@
   /** A job that names a cancelled one is accepted and is cancelled with it. */
   async #statusOfAccepted(job: Job): Promise<JobStatus> {
     const queued: JobStatus = { id: job.id, state: 'queued', done: 0, running: 0 };
-    if (!this.context.dependencies.graph.isCondemned(job.id)) return queued;
-    return (await this.cancel(job.id, 0)) ?? queued;
+    if (!job.dependencies) return queued;
+    return (await this.find(job.id)) ?? queued;
   }
 
   /**
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -4,7 +4,9 @@
 import { describe, runLoop } from '../base/loop';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
+import { changesAtOnce, valueBytes } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
+import { isCompletionKey } from '../bookkeeping/completion-records';
 import { FormatGate } from '../bookkeeping/format-gate';
 import { DependencyTracker } from '../bookkeeping/dependency-tracker';
 import { DependentCancellation } from '../bookkeeping/dependent-cancellation';
@@ -12,6 +14,7 @@
 import { FinalStates } from '../bookkeeping/final-states';
 import { JobStore } from '../bookkeeping/job-store';
 import { KEY, LIVE, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
+import { isTypesKey, readTypes, storeTypes } from '../bookkeeping/type-records';
 import { Session } from '../bookkeeping/session';
 import { WatchCache } from '../bookkeeping/watch-cache';
 import { Cloud } from '../protocol/cloud';
@@ -61,7 +64,10 @@
 /** How long the answer to a cancellation may wait for the records of jobs that need the cancelled one. */
 const CANCEL_DEPENDENTS_MS = 1_000;
 /** Records whose changes concern neither the leader nor the taking of blocks. */
-const QUIET_PREFIXES = [PREFIX.done, PREFIX.machine, PREFIX.dependencyPart];
+function isQuietKey(key: string): boolean {
+  return isCompletionKey(key) || key.startsWith(PREFIX.machine) || key.startsWith(PREFIX.dependencyPart);
+}
+
 const MAX_PROGRESS = 2_000;
 
 export type ReportAnswer = OwnAnswer | { kind: 'elsewhere'; owner: string | undefined };
@@ -127,12 +133,12 @@
     );
     const dependencies = new DependencyTracker(this.#cache, finals, clock);
     const records = { store: stateStore, cache: this.#cache, clock, dependencies, announce };
-    const limits = { valueBytes: state.value_kb * 1024, changes: state.txn_ops };
+    const limits = { valueBytes: valueBytes(state), changes: changesAtOnce(state) };
     this.jobs = new JobStore({ ...records, finals, formatGate, limits });
     this.#dependentCancellation = new DependentCancellation({
       ...records,
       jobs: this.jobs,
-      changes: state.txn_ops,
+      changes: changesAtOnce(state),
     });
     dependencies.onReady(() => {
       for (const owner of this.#owners.values()) owner.jobsReady();
@@ -318,8 +324,8 @@
     if (key.startsWith(PREFIX.keep)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
-    } else if (!QUIET_PREFIXES.some((prefix) => key.startsWith(prefix))) {
-      if (key === KEY.types) this.#types = read.types(event.value)?.types ?? this.#types;
+    } else if (!isQuietKey(key)) {
+      if (isTypesKey(key)) this.#types = readTypes(this.#cache) ?? this.#types;
       this.#leaderWake.wake();
       this.#ownerWake.wake();
     }
@@ -417,7 +423,7 @@
   }
 
   async #refreshTypes(signal: AbortSignal): Promise<void> {
-    const { cache, store, clock, cloud } = this.#deps;
+    const { cache, store, clock, cloud, formatGate } = this.#deps;
     if (!cache.loaded) {
       await clock.sleep(20, signal);
       return;
@@ -426,13 +432,12 @@
     if (this.#types.length === 0 || this.#leader.isLeader) {
       const types = await cloud.types();
       this.#types = types;
-      const known = cache.get(KEY.types);
-      if (types.length > 0 && JSON.stringify(known?.value) !== JSON.stringify({ types })) {
-        await store.txn(
-          [{ key: KEY.types, version: known?.version ?? 0 }],
-          [{ put: KEY.types, value: { types } }],
-        );
-      }
+      const { state } = this.settings.platform.deployment;
+      await storeTypes(types, cache, store, {
+        valueBytes: valueBytes(state),
+        changes: changesAtOnce(state),
+        mayUseParts: formatGate.isOpen,
+      });
       this.#ownerWake.wake();
     }
     await clock.sleep(TYPES_REFRESH_MS, signal);
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -47,6 +47,8 @@
   writeRps?: number;
   /** The versions that the controllers start with; the present one where there is none. */
   versions?: Version[];
+  /** Limits of the state service that the settings announce; see `FakeStateService.limits` for their coming into force. */
+  nextLimits?: Record<string, unknown>;
 }
 
 /** A whole deployment in memory: controllers, state service, cloud and workers, with the rules watched throughout. */
@@ -130,7 +132,13 @@
             { name: 'blue', cpus: 8 },
           ],
           workers: { report_s: 0.8, lease_s: LEASE_S, cancel_s: CANCEL_S },
-          state: { rps: 200, write_rps: this.#options.writeRps ?? 100, value_kb: 16, txn_ops: 32 },
+          state: {
+            rps: 200,
+            write_rps: this.#options.writeRps ?? 100,
+            value_kb: 16,
+            txn_ops: 32,
+            next: this.#options.nextLimits,
+          },
           cloud: { rps: 5, list_lag_s: 2 },
           quota: { cpu: this.cpu },
         },
--- a/test/formats.test.ts
+++ b/test/formats.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Bitmap } from '../src/bookkeeping/bitmap';
+import { completionLayout, groupByRecord, readCompletions } from '../src/bookkeeping/completion-records';
 import { KEY, read } from '../src/bookkeeping/records';
 import { readPeerMessage, writePeerMessage, type PeerMessage } from '../src/protocol/peers';
 import production from './data/production-formats.json';
@@ -20,6 +21,9 @@
 /** Field numbers that production doesn't know, in messages between controllers. */
 const NEW_PEER_FIELDS: string[] = [];
 
+/** However little a value may hold, production's layout is kept while production may read it. */
+const LOWEST_VALUE_BYTES = 2_048;
+
 const samples: Samples = production;
 
 /** Each kind of record: how its reader is called, and the key that the present version would look under. */
@@ -119,13 +123,25 @@
 });
 
 test("production's bitmaps are read and written bit for bit", () => {
-  for (const { tasks, done, chunks } of samples.bitmaps) {
+  for (const { tasks, done, chunks } of production.bitmaps) {
+    const job = { id: 'req-1', tasks };
     const bitmap = new Bitmap(tasks);
-    assert.equal(bitmap.chunks, chunks.length);
-    const merged = chunks.flatMap((text, chunk) => bitmap.mergeChunk(chunk, text));
+    const merged = chunks.flatMap((bits, chunk) => {
+      const stored = readCompletions(KEY.done(job.id, chunk), { bits });
+      assert.ok(stored);
+      return bitmap.merge(stored.first, stored.bits);
+    });
     assert.deepEqual(merged, done);
+    // Every task completed: the records are all that there are.
+    const all = Array.from({ length: tasks }, (_, task) => task);
+    const layout = completionLayout(job, LOWEST_VALUE_BYTES, false);
+    const records = groupByRecord(job, all, layout).map((group) => group.record);
+    assert.deepEqual(
+      records.map(({ key }) => key),
+      chunks.map((_, chunk) => KEY.done(job.id, chunk)),
+    );
     assert.deepEqual(
-      chunks.map((_, chunk) => bitmap.encodeChunk(chunk)),
+      records.map(({ first, end }) => bitmap.encode(first, end)),
       chunks,
     );
   }
--- a/test/formats/samples.ts
+++ b/test/formats/samples.ts
@@ -23,7 +23,6 @@
 export interface Samples {
   records: RecordSample[];
   peerMessages: PeerSample[];
-  bitmaps: BitmapSample[];
 }
 
 /** The kind of a record: its key, with what differs from one record to the next replaced by a name. */
--- a/test/formats/scenario.ts
+++ b/test/formats/scenario.ts
@@ -1,8 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
-import { Bitmap } from '../../src/bookkeeping/bitmap';
 import { readPeerMessage } from '../../src/protocol/peers';
 import { World } from '../fakes/world';
-import { keyPattern, type BitmapSample, type PeerSample, type RecordSample, type Samples } from './samples';
+import { keyPattern, type PeerSample, type RecordSample, type Samples } from './samples';
 import { valueShape, wireShape } from './shape';
 
 const STATE = '10.2.0.1:2379';
@@ -39,7 +38,7 @@
   readonly #peerMessages = new Collection<PeerSample>();
 
   get samples(): Samples {
-    return { records: this.#records.all, peerMessages: this.#peerMessages.all, bitmaps: bitmaps() };
+    return { records: this.#records.all, peerMessages: this.#peerMessages.all };
   }
 
   /** A deployment whose records and peer messages are collected. */
@@ -79,21 +78,6 @@
   }
 }
 
-function bitmaps(): BitmapSample[] {
-  const cases = [
-    { tasks: 1, done: [0] },
-    { tasks: 20, done: [0, 1, 7, 8, 19] },
-    { tasks: 65_536, done: [0, 4_097, 65_535] },
-    { tasks: 70_000, done: [3, 65_535, 65_536, 69_999] },
-  ];
-  return cases.map(({ tasks, done }) => {
-    const bitmap = new Bitmap(tasks);
-    for (const task of done) bitmap.set(task);
-    const chunks = Array.from({ length: bitmap.chunks }, (_, chunk) => bitmap.encodeChunk(chunk));
-    return { tasks, done, chunks };
-  });
-}
-
 /** Jobs of all sorts are accepted, partly done, done and cancelled, and a controller dies and returns. */
 async function runJobs(collector: Collector): Promise<void> {
   const world = collector.world();
