--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,7 +44,6 @@
     'test/decisions.test.ts',
     'test/fakes/rules.ts',
     'test/fakes/world.ts',
-    'test/meetings.test.ts',
     'test/takeover.test.ts',
     'test/walk.ts',
   ],
--- /dev/null
+++ b/test/machine-records.test.ts
@@ -0,0 +1,79 @@
+/** @file Records of new machines while the state service loses or delays writes. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './fakes/world';
+import { startCount } from './fault-steps';
+
+/** Drops every transaction that would record a machine as up, or only its answer. */
+function disturbUpRecords(world: World, fate: 'lose' | 'lose answer' | 'hold', seen: () => void): () => void {
+  return world.network.rule(({ path, body }) => {
+    if (path !== '/txn' || !JSON.stringify(body).includes('"up":true')) return undefined;
+    seen();
+    return fate;
+  });
+}
+
+for (const [what, fate] of [
+  ['never carried out', 'lose'],
+  ['carried out, and only the answer is lost', 'lose answer'],
+  ['carried out after the leader died', 'hold'],
+] as const) {
+  test(`fault combination: new machines up at once, their records ${what}, and the leader dies: no task runs twice`, async () => {
+    const world = new World();
+    world.bootMs = 200;
+    let written = 0;
+    const heal = disturbUpRecords(world, fate, () => {
+      written += 1;
+    });
+    await world.submit('req-1', { pieces: 8, reckonS: 60 }, 60);
+    await world.until('a machine came up', () => written > 0, 20);
+    await world.clock.advance(3000);
+    const old = world.owner;
+    // It holds on to its workers, which can't reach the next one yet.
+    const kept = [...world.workers.values()];
+    const far = world.network.rule(({ from, to }) => {
+      const down = kept.some((w) => w.address === to) && from !== `node-${old}`;
+      const up = kept.some((w) => w.id === from) && to !== world.controllers[old]?.address;
+      return down || up ? 'lose' : undefined;
+    });
+    world.kill(old);
+    heal();
+    world.network.release();
+    await world.clock.advance(100);
+    const owner = await world.untilOwned();
+    const view = world.controllers[owner]?.node.owners.get(0)?.machines;
+    for (const worker of kept) {
+      const known = view?.get(worker.id);
+      if (worker.pieces.size > 0) assert.ok(known?.up, `${worker.id} holds tasks`);
+      // Whatever became of the record: who was never answered has been given nothing.
+      if (!known?.up) assert.equal(worker.baton, 0);
+    }
+    for (let n = 0; n < 4; n += 1) world.addWorker('b');
+    await world.clock.advance(6000);
+    far();
+    await world.untilStanding('req-1', 'done', 150, owner);
+    world.noRuleBroken();
+  });
+}
+
+test('machines that report before their rental is recorded, while writes are delayed, get work only once recorded', async () => {
+  const world = new World();
+  world.bootMs = 100;
+  const isRental = (path: string, body: unknown): boolean =>
+    path === '/txn' && JSON.stringify(body).includes('"up":false');
+  const lag = world.network.rule(({ path, body }) => (isRental(path, body) ? 'lose' : undefined));
+  await world.submit('req-1', { pieces: 6, reckonS: 40 }, 40);
+  await world.until('a machine is rented', () => world.workers.size > 0, 20);
+  await world.clock.advance(4000);
+  for (const worker of world.workers.values()) assert.equal(worker.baton, 0, 'nobody answers for it');
+  assert.equal(startCount(world), 0);
+  // The one who rented them ends before it could write them down: the cloud's list is all that is left.
+  world.kill(world.owner);
+  lag();
+  await world.clock.advance(100);
+  const owner = await world.untilOwned();
+  await world.until('6 tasks run', () => world.running.length === 6, 60);
+  await world.untilStanding('req-1', 'done', 90, owner);
+  assert.equal(startCount(world), 6);
+  world.noRuleBroken();
+});
--- /dev/null
+++ b/test/zone-constraints.test.ts
@@ -0,0 +1,108 @@
+/** @file Jobs bound to zones: lost machines, renting and waiting. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planFleet, type FleetInput } from '../src/coordination/fleet';
+import type { Job } from '../src/protocol/model';
+import { World } from './fakes/world';
+import { changeLeader, tasksOf, zoneOf } from './fault-steps';
+
+for (const [what, fields] of [
+  ['bound to one zone', { yard: 'a' }],
+  ['in one zone as a whole', { together: true }],
+  ['spread over zones', { apart: true }],
+  ['bound to one zone, in another team, in one zone as a whole', { yard: 'b', together: true, crew: 'red' }],
+] as const) {
+  for (const all of [false, true]) {
+    test(`a job ${what} loses ${all ? 'every' : 'one'} machine of a zone, and its leader dies: it completes where it may run`, async () => {
+      const world = new World();
+      world.capacity = 12;
+      await world.submit('req-1', { pieces: 12, reckonS: 60, ...fields }, 60);
+      // Others fill what it leaves.
+      await world.submit('req-2', { pieces: 6, reckonS: 60 }, 60);
+      await world.until('18 tasks run', () => world.running.length === 18);
+      await world.clock.advance(2000);
+      const used = [...new Set(tasksOf(world, 'req-1').map((piece) => world.where(piece) ?? ''))];
+      assert.ok(used.length > 1);
+      const zone = zoneOf(world, used[0] ?? '');
+      for (const id of all ? used.filter((id) => zoneOf(world, id) === zone) : used.slice(0, 1))
+        world.worker(id).vanish();
+      const owner = await changeLeader(world);
+      await world.untilStanding('req-1', 'done', 200, owner);
+      await world.noJobWaits(150);
+      assert.deepEqual(world.rules.unfinished, []);
+      world.noRuleBroken();
+    });
+  }
+}
+
+test('an array that must share a zone, or be spread over zones, gets machines where its tasks may go', () => {
+  const type = {
+    ...{ name: 'm4', cpus: 4, gpus: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1, price: 1, spotPrice: 0.3 },
+    ...{ bootS: 10, zones: ['a', 'b'] },
+  };
+  const array: Job = {
+    ...{ id: 'req-1', jobClass: 'batch', team: 'blue', priority: 'normal', tasks: 16, cpus: 1, gpus: 0 },
+    ...{ memoryGb: 1, types: null, zone: null, oneZone: false, spread: false, spot: true, image: 'img' },
+    ...{ imageGb: 1, estimateS: 10, checkpointS: 0, saveS: 0, deadlineS: null },
+  };
+  const busy = { type, spot: true, booting: false, ageMs: 90_000, idleMs: 0 };
+  const input: FleetInput = {
+    unplaced: [],
+    // Zone a has more machines, so the next one would go to zone b; and one is coming up there.
+    machines: [
+      ...Array.from({ length: 6 }, (_, n) => ({ ...busy, id: `host-${n}`, zone: 'a' })),
+      { ...busy, id: 'host-9', zone: 'b', booting: true },
+    ],
+    ...{ types: [type], refused: () => false, freeingCpus: 0, idleReleaseMs: 20_000 },
+    ...{ allMayStart: true, warmCpus: 0, freeCpus: 0 },
+  };
+  const rented = (fields: Partial<Job>, count: number, zones: [string, number][]): unknown[] =>
+    planFleet({
+      ...input,
+      unplaced: [{ job: { ...array, ...fields }, count, urgent: true, slackMs: 0, zones: new Map(zones) }],
+    }).rent.map((r) => `${r.zone} ${r.count}`);
+  assert.deepEqual(rented({}, 8, [['a', 8]]), ['b 1']);
+  assert.deepEqual(rented({ oneZone: true }, 8, [['a', 8]]), ['a 2']);
+  // One that has not begun goes to one zone whole.
+  assert.deepEqual(rented({ oneZone: true }, 16, []), ['b 3']);
+  assert.deepEqual(rented({ spread: true }, 8, [['b', 8]]), ['a 2']);
+  assert.deepEqual(rented({ spread: true }, 16, []), ['b 1', 'a 2']);
+});
+
+test('a job bound to a zone without machines does not wait for room that becomes free in another zone', async () => {
+  const world = new World();
+  for (let n = 0; n < 4; n += 1) world.addWorker('b');
+  await world.clock.advance(13_000);
+  // Short work in zone b, for which there is room: some of it is always about to come free.
+  let next = 10;
+  const goOn = async (): Promise<void> => {
+    next += 1;
+    await world.submit(`req-${next}`, { pieces: 3, yard: 'b', reckonS: 8 }, 8);
+    await world.clock.advance(2000);
+  };
+  for (let n = 0; n < 6; n += 1) await goOn();
+  await world.submit('req-1', { pieces: 2, yard: 'a', reckonS: 8 }, 8);
+  for (let n = 0; n < 15 && tasksOf(world, 'req-1').length === 0; n += 1) await goOn();
+  assert.equal(tasksOf(world, 'req-1').length, 2);
+  await world.noJobWaits(200);
+  assert.deepEqual(world.rules.unfinished, []);
+  world.noRuleBroken();
+});
+
+test('an array that must share a zone gets room for its lost tasks in its own zone, where most machines are', async () => {
+  const world = new World();
+  world.capacity = 30;
+  await world.submit('req-2', { pieces: 24, yard: 'a', reckonS: 400 }, 400);
+  await world.until('24 tasks run', () => world.running.length === 24);
+  for (let n = 0; n < 4; n += 1) world.addWorker('a');
+  await world.clock.advance(10_000);
+  await world.submit('req-1', { pieces: 12, together: true, reckonS: 400 }, 400);
+  await world.until('36 tasks run', () => world.running.length === 36);
+  for (const worker of world.workers.values()) if (worker.pieces.size === 0) worker.vanish();
+  const before = world.workers.size;
+  world.worker(world.where('req-1/0') ?? '').vanish();
+  await world.until('all run again', () => world.running.length === 36, 20);
+  const rented = [...world.workers.values()].slice(before).map((worker) => zoneOf(world, worker.id));
+  assert.deepEqual(rented, ['a']);
+  world.noRuleBroken();
+});
