--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -156,7 +156,6 @@
     'src/coordination/scheduler.ts',
     'src/coordination/token.ts',
     'src/coordination/up-records.ts',
-    'src/coordination/vouching.ts',
     'src/main.ts',
     'src/protocol/cloud.ts',
     'src/protocol/codec.ts',
--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -101,7 +101,7 @@
 const DEFAULT_BLOCK_LEASE_MS = 5_000;
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
-/** A promise of other nodes to an owner (`Vouching`) binds for this long. */
+/** A grant of other nodes to an owner (`LeaseExtension`) binds for this long. */
 export const PROMISE_MS = 2_500;
 const MIN_BLOCK_LEASE_MS = 2_000;
 /** For timers and messages on their way, where a sum of times has to stay under the bound on cancellations. */
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -34,7 +34,7 @@
     if (!final) throw new NoAnswer(`the final state of ${id} can't be read`, false);
     // The transaction that wrote it deleted the live record, and its writer may have died, or never had an answer. Who
     // tells a user of a cancellation has to know of it when it promises an owner that nothing was cancelled unheard
-    // (`Vouching`): so it is in this node's view before any answer leaves.
+    // (`LeaseExtension`): so it is in this node's view before any answer leaves.
     if (final.state === 'cancelled')
       this.announce({ key: KEY.job(id), version: entry.version, deleted: true });
     return this.rememberFinal(id, final.state, final.done);
--- /dev/null
+++ b/src/coordination/lease-extension.ts
@@ -0,0 +1,110 @@
+/**
+ * @file Extension of a block owner's lease by its peers during an outage of the state service.
+ */
+import { PROMISE_MS } from '../base/settings';
+import { blockCount } from '../bookkeeping/block-count';
+import { KEY, PREFIX, read } from '../bookkeeping/records';
+import { DRIFT } from '../bookkeeping/session';
+import type { LeaseExtensionGrant, LeaseExtensionRequest, PeerMessage } from '../protocol/peers';
+import type { Deps } from './deps';
+
+/** Safety margin: the requester stops using a grant this long before it ends. */
+const UNUSED_MS = 400;
+const REQUEST_INTERVAL_MS = 400;
+/** How many requests back a late grant is still accepted for. */
+const REMEMBERED_REQUESTS = 10;
+
+/**
+ * Extends the right of a block owner to act while nobody can reach the state service.
+ *
+ * An owner that can't renew its lease can't tell an outage for all from a refusal of itself alone, so without help it
+ * has to stop when its lease ends by its own clock, although in an outage no other node could acquire its blocks. It
+ * therefore sends a request to all peers. A peer that can't reach the state service either grants it: the peer then
+ * acquires no block for `PROMISE_MS`. The owner goes on only with grants of all other nodes; one peer that doesn't
+ * answer, or that can reach the state service, is enough to stop it.
+ */
+export class LeaseExtension {
+  readonly #requestedAt = new Map<number, number>();
+  /** For each peer, when the latest request that it granted was sent. */
+  readonly #grantedRequestAt = new Map<string, number>();
+  #requestNumber = 0;
+  #boundUntil: number;
+
+  constructor(
+    private readonly deps: Deps,
+    private readonly broadcast: (message: PeerMessage) => void,
+    /** Whether this node is acquiring a block at this moment. */
+    private readonly isAcquiring: () => boolean,
+    /** Steady time at which this process began. */
+    startedAt: number,
+  ) {
+    // A restarted node may have granted a request before it died, and no longer knows of it.
+    this.#boundUntil = startedAt + PROMISE_MS * (1 + DRIFT);
+  }
+
+  /** Whether no grant given by this node forbids it to acquire a block. */
+  get mayAcquireBlocks(): boolean {
+    return this.deps.clock.now() > this.#boundUntil;
+  }
+
+  /** One step of the requesting side; to be run in a loop. */
+  async step(signal: AbortSignal): Promise<void> {
+    const { clock, session, store, node, cache } = this.deps;
+    await clock.sleep(REQUEST_INTERVAL_MS, signal);
+    if (!session.waning || !session.valid || !store.troubled) return;
+    this.#requestNumber += 1;
+    this.#requestedAt.set(this.#requestNumber, clock.now());
+    this.#requestedAt.delete(this.#requestNumber - REMEMBERED_REQUESTS);
+    this.broadcast({
+      kind: 'ask',
+      ask: { from: node, number: this.#requestNumber, revision: cache.revision },
+    });
+  }
+
+  /** Grants a peer's request, or ignores it when this node can reach the state service or has the peer's block. */
+  onRequest(request: LeaseExtensionRequest): void {
+    const { clock, store, cache, node } = this.deps;
+    if (!store.troubled || this.isAcquiring() || this.#lostBlock(request.from)) return;
+    const ended = cache.deletedSince(PREFIX.job, request.revision);
+    // The grant has to name the cancellations that the requester may have missed: it would not learn of them while it
+    // acts by grants. If this node no longer remembers all of them, it must not grant.
+    if (!ended) return;
+    this.#boundUntil = Math.max(this.#boundUntil, clock.now() + PROMISE_MS * (1 + DRIFT));
+    const promise: LeaseExtensionGrant = {
+      from: node,
+      to: request.from,
+      number: request.number,
+      ended: ended.map(({ key, version }) => ({ id: key.slice(PREFIX.job.length), version })),
+    };
+    this.broadcast({ kind: 'promise', promise });
+  }
+
+  /** Takes in a peer's grant, and extends the session once all peers have granted. */
+  onGrant(grant: LeaseExtensionGrant): void {
+    const { clock, session, cache, node, settings, log } = this.deps;
+    const requestedAt = this.#requestedAt.get(grant.number);
+    if (grant.to !== node || requestedAt === undefined) return;
+    for (const { id, version } of grant.ended) cache.offer({ key: KEY.job(id), version, deleted: true });
+    const previous = this.#grantedRequestAt.get(grant.from) ?? 0;
+    this.#grantedRequestAt.set(grant.from, Math.max(previous, requestedAt));
+    // Counted from when the request was sent, which is before any peer can have granted it.
+    const oldest = Math.min(
+      ...settings.platform.others.map((other) => this.#grantedRequestAt.get(other.node) ?? -Infinity),
+    );
+    const until = oldest + PROMISE_MS * (1 - DRIFT) - UNUSED_MS;
+    if (until <= clock.now()) return;
+    if (until - session.validUntil > PROMISE_MS / 2) log.info({ until }, 'all peers extended the lease');
+    session.prolong(until);
+  }
+
+  /** Whether a block assigned to the node is leased by another, which the node may be unable to see. */
+  #lostBlock(node: string): boolean {
+    const { cache, settings } = this.deps;
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
+      const lease = read.lease(cache.get(KEY.lease(block))?.value);
+      const assigned = read.block(cache.get(KEY.block(block))?.value);
+      if (assigned?.owner === node && lease?.owner !== node) return true;
+    }
+    return false;
+  }
+}
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -21,9 +21,9 @@
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
 import { Keeping } from './keeping';
+import { LeaseExtension } from './lease-extension';
 import { Leader } from './leader';
 import { isUnheard, Reach } from './reach';
-import { Vouching } from './vouching';
 
 export interface Outside {
   clock: Clock;
@@ -69,7 +69,7 @@
   readonly #session: Session;
   readonly #leader: Leader;
   readonly #cloudView: CloudView;
-  readonly #vouching: Vouching;
+  readonly #leaseExtension: LeaseExtension;
   readonly #reach: Reach;
   readonly #keeping: Keeping;
   #taking = false;
@@ -123,8 +123,8 @@
       types: () => this.#types,
     };
     this.#cloudView = new CloudView(cloudApi, clock);
-    this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#vouching.mayTake);
-    this.#vouching = new Vouching(
+    this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#leaseExtension.mayAcquireBlocks);
+    this.#leaseExtension = new LeaseExtension(
       this.#deps,
       (message) => {
         outside.broadcast(writePeerMessage(message));
@@ -164,7 +164,7 @@
       await clock.sleep(KEEPING_MS, signal);
       await this.#keeping.step();
     });
-    loop('vouching', () => this.#vouching.step(signal));
+    loop('lease extension', () => this.#leaseExtension.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
     loop('cloud list', () => this.#listCloud(signal), 3_000);
     loop('progress', async () => {
@@ -259,11 +259,11 @@
       return;
     }
     if (message.kind === 'ask') {
-      this.#vouching.onAsk(message.ask);
+      this.#leaseExtension.onRequest(message.ask);
       return;
     }
     if (message.kind === 'promise') {
-      this.#vouching.onPromise(message.promise);
+      this.#leaseExtension.onGrant(message.promise);
       return;
     }
     this.#peersHeardAt = this.outside.clock.now();
@@ -359,7 +359,7 @@
    */
   #mayTake({ holder }: BlockRecord): boolean {
     const neverHeld = this.#cache.get(KEY.baton) === undefined;
-    return this.#vouching.mayTake || neverHeld || holder === this.#deps.node;
+    return this.#leaseExtension.mayAcquireBlocks || neverHeld || holder === this.#deps.node;
   }
 
   /** A node that is cut from most workers of its block gives it to one that they come to instead. */
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -9,13 +9,15 @@
   done: number;
 }
 
-export interface Ask {
+/** An owner without the state service asks its peers to extend its lease. `Ask` on the wire. */
+export interface LeaseExtensionRequest {
   from: string;
   number: number;
   revision: number;
 }
 
-export interface PeerPromise {
+/** A peer will acquire no block for a while, and names what ended meanwhile. `Promise` on the wire. */
+export interface LeaseExtensionGrant {
   from: string;
   to: string;
   number: number;
@@ -33,8 +35,8 @@
 export type PeerMessage =
   | { kind: 'nudge'; event: Event }
   | { kind: 'progress'; progress: Progress }
-  | { kind: 'ask'; ask: Ask }
-  | { kind: 'promise'; promise: PeerPromise };
+  | { kind: 'ask'; ask: LeaseExtensionRequest }
+  | { kind: 'promise'; promise: LeaseExtensionGrant };
 
 const type = protobuf.parse(definition).root.lookupType('PeerMessage');
 
@@ -55,8 +57,8 @@
     const message = type.toObject(type.decode(bytes), { longs: Number, defaults: true }) as {
       nudge: { key: string; version: number; deleted: boolean; value: Uint8Array } | null;
       progress: Progress | null;
-      ask: Ask | null;
-      promise: PeerPromise | null;
+      ask: LeaseExtensionRequest | null;
+      promise: LeaseExtensionGrant | null;
     };
     if (message.ask) return { kind: 'ask', ask: message.ask };
     if (message.promise) return { kind: 'promise', promise: message.promise };
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -32,7 +32,7 @@
   'one that only read it',
   'one whose write got no answer',
 ] as const) {
-  test(`the gap: a cancellation confirmed by ${way} ends in time, though its owner is vouched for`, async () => {
+  test(`the gap: a cancellation confirmed by ${way} ends in time, though its owner's lease is extended by peers`, async () => {
     const { world, owner, second, third } = await busyWorld();
     // Nobody's view hears of it but through what nodes know of their own answers; watches that are open end in a second.
     world.lostPeerMessages.add('nudge');
@@ -55,7 +55,7 @@
     world.state.outage(true);
     watches();
     await world.clock.advance(8_000);
-    // This is the meeting: the old owner goes on, for all others vouch for it.
+    // The old owner goes on, for all its peers extend its lease.
     assert.equal(world.owner, owner);
     await world.clock.advance(toldAt + CANCEL_S * 1000 - world.clock.now());
     assert.deepEqual(of(world, 'req-1'), []);
@@ -92,7 +92,7 @@
   assert.ok(worker);
   const { shift } = worker;
   await world.clock.advance(toldAt + CANCEL_S * 1000 - 500 - world.clock.now());
-  assert.equal(world.owner, owner, 'the owner is vouched for all the while');
+  assert.equal(world.owner, owner, 'the owner has its lease extended all the while');
   assert.ok(worker.shift > shift, 'the worker that may still start it was left to its lease');
   world.network.release();
   await world.clock.advance(5_000);
--- a/test/trouble.test.ts
+++ b/test/trouble.test.ts
@@ -23,7 +23,7 @@
   world.noRuleBroken();
 });
 
-test('an outage longer than all leases: the controllers vouch for the owner, and no task is lost', async () => {
+test('an outage longer than all leases: peers extend the lease of the owner, and no task is lost', async () => {
   const world = new World();
   await world.submit('req-1', { pieces: 3 }, 60);
   await world.until('3 tasks run', () => world.running.length >= 3);
@@ -38,7 +38,7 @@
   world.noRuleBroken();
 });
 
-test('a cancellation just before an outage reaches the owner through those who vouch for it', async () => {
+test('a cancellation just before an outage reaches the owner through the peers that extend its lease', async () => {
   const world = new World();
   await world.submit('req-1', { pieces: 3 }, 200);
   await world.until('3 tasks run', () => world.running.length >= 3);
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -597,7 +597,7 @@
       for (const index of NODES) this.#refused(index, index === leader ? 14_000 : this.#from(4_000, 9_000));
       if (this.#chance(0.5)) this.#cancelsRunning(2);
     } else if (kind === 6) {
-      // What was cancelled while the leader heard nobody, it can only learn from those that vouch for it.
+      // What was cancelled while the leader heard nobody, it can only learn from the peers that extend its lease.
       this.#refused(leader, 3_000);
       this.#hearsNoOther(leader, 2_500);
       this.#cancelsRunning(3);
