--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -23,8 +23,11 @@
   machine: (id: string) => `live/machine/${id}`,
   job: (id: string) => `live/job/${id}`,
   done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
-  /** A node that does not own the block keeps the leases of workers which reach it and not the owner. */
-  keep: (block: number, node: string) => `live/keep/${block}/${node}`,
+  /**
+   * A node relays the leases of a block's workers which reach it and not the owner. `keep` is an older name of that,
+   * and stays as the stored key.
+   */
+  relay: (block: number, node: string) => `live/keep/${block}/${node}`,
   final: (id: string) => `final/${id}`,
 };
 export const PREFIX = {
@@ -32,7 +35,7 @@
   machine: 'live/machine/',
   job: 'live/job/',
   done: 'live/done/',
-  keep: 'live/keep/',
+  relay: 'live/keep/',
 };
 
 const count = z.int().min(0);
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -11,7 +11,7 @@
 import type { FleetInput, RentOption } from './fleet';
 import { FleetManager } from './fleet-manager';
 import { holdsRoom, type Machine } from './machine';
-import { stopsOfEnded } from './keeping';
+import { stopsOfEnded } from './lease-relay';
 import { Recorder } from './recorder';
 import { Scheduler } from './scheduler';
 import { TokenRaiser } from './token';
@@ -152,8 +152,8 @@
     } else if (key.startsWith(PREFIX.machine)) {
       if (event.deleted) this.#removeMachine(key.slice(PREFIX.machine.length));
       else this.#block.loadMachine(key, event.value);
-    } else if (key.startsWith(`${PREFIX.keep}${this.block}/`)) {
-      // Up to the end of its record a keeper may have answered.
+    } else if (key.startsWith(`${PREFIX.relay}${this.block}/`)) {
+      // Up to the end of its record a relay may have answered.
       this.#scheduler.heedKeeping(this.deps.clock.now());
     } else if (key === KEY.lease(this.block)) {
       this.#onLease(event);
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -210,15 +210,15 @@
   }
 
   get #keepKeys(): string[] {
-    return this.deps.settings.platform.others.map(({ node }) => KEY.keep(this.number, node));
+    return this.deps.settings.platform.others.map(({ node }) => KEY.relay(this.number, node));
   }
 
-  /** Whether any node keeps leases of this block's workers, as far as our view goes. */
+  /** Whether any node relays leases of this block's workers, as far as our view goes. */
   get isKept(): boolean {
     return this.#keepKeys.some((key) => this.deps.cache.get(key) !== undefined);
   }
 
-  /** Whether the state service says that nobody keeps, and our view holds all that was kept before. */
+  /** Whether the state service says that nobody relays, and our view holds all that was relayed before. */
   async nobodyKeeps(): Promise<boolean> {
     const { store, cache, clock } = this.deps;
     const guards = this.#keepKeys.map((key) => ({ key, version: 0 }));
--- /dev/null
+++ b/src/coordination/lease-relay.ts
@@ -0,0 +1,112 @@
+/**
+ * @file Relay of worker leases: answers another node's workers while they reach this node and not their owner.
+ */
+import { blockCount } from '../bookkeeping/block-count';
+import { KEY, read } from '../bookkeeping/records';
+import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { Order, Report } from '../protocol/model';
+import type { Deps } from './deps';
+import { SILENT_MS, type Reach } from './reach';
+
+/** How long a node goes on relaying after it last had a reason to. */
+const LINGER_MS = 3_000;
+
+/** Stop commands for the reported attempts whose jobs are over: whoever renews a worker's lease sends them along. */
+export function stopsOfEnded(report: Report, cache: WatchCache): Order[] {
+  return report.attempts
+    .filter((attempt) => attempt.phase !== 'exited' && !cache.get(KEY.job(attempt.job)))
+    .map(({ job, task, attempt }) => ({ op: 'stop', job, task, attempt, graceS: 0 }));
+}
+
+/**
+ * Renews the leases of another node's workers while they reach this node and not their owner, as in a network
+ * partition between zones or during a takeover.
+ *
+ * A relay answers reports with the block's current token and starts nothing; it only stops tasks of jobs that are over.
+ * The owner must not declare such workers dead. So a relay first writes a record that it relays, which is bound to its
+ * own lease, and answers only while that lease is valid; the owner declares an unresponsive worker dead only when the
+ * state service says that no such record exists.
+ */
+export class LeaseRelay {
+  /**
+   * Blocks with an acknowledged record of this node that was not deleted since, and the lease that the record is bound
+   * to: with the next lease the record is gone, even when no step ran in between.
+   */
+  readonly #relayed = new Map<number, number>();
+  readonly #neededAt = new Map<number, number>();
+  readonly #startedAt: number;
+
+  constructor(
+    private readonly deps: Deps,
+    private readonly reach: Reach,
+  ) {
+    this.#startedAt = deps.clock.now();
+  }
+
+  /** One step: writes or deletes records. To be run in a loop, and whenever a peer may have become unreachable. */
+  async step(): Promise<void> {
+    const { cache, session, settings } = this.deps;
+    const { lease: ownLease } = session;
+    if (!cache.loaded || !session.valid || ownLease === undefined) {
+      this.#relayed.clear();
+      return;
+    }
+    const now = this.deps.clock.now();
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
+      const needed = this.#isNeeded(block, now);
+      if (needed && this.#relayed.get(block) !== ownLease) {
+        await this.#writeRecord(block, ownLease);
+      } else if (!needed && (this.#relayed.has(block) || cache.get(this.#key(block)))) {
+        await this.#deleteRecord(block);
+      }
+    }
+  }
+
+  /** Whether the owner of the block is another node that is unreachable, or was until a moment ago. */
+  #isNeeded(block: number, now: number): boolean {
+    const { cache, node } = this.deps;
+    const lease = read.lease(cache.get(KEY.lease(block))?.value);
+    if (lease === undefined || lease.owner === node) return false;
+    // A node that starts has not received anything from its peers yet. If it relayed then for no reason, unresponsive
+    // workers would count as just answered, and a block that was taken over would wait for them for another lease.
+    const hasListened = now - this.#startedAt > SILENT_MS;
+    if (hasListened && !this.reach.reaches(lease.owner, block)) this.#neededAt.set(block, now);
+    return now - (this.#neededAt.get(block) ?? -Infinity) < LINGER_MS;
+  }
+
+  async #writeRecord(block: number, ownLease: number): Promise<void> {
+    const key = this.#key(block);
+    const result = await this.deps.store.txn(
+      [{ key, version: this.deps.cache.version(key) }],
+      [{ put: key, value: {}, lease: ownLease }],
+      true,
+    );
+    if (result.ok) this.#relayed.set(block, ownLease);
+  }
+
+  async #deleteRecord(block: number): Promise<void> {
+    const key = this.#key(block);
+    // In this order: no report is answered any more when the record goes.
+    this.#relayed.delete(block);
+    await this.deps.store.txn([{ key, version: this.deps.cache.version(key) }], [{ delete: key }], true);
+  }
+
+  #key(block: number): string {
+    return KEY.relay(block, this.deps.node);
+  }
+
+  /**
+   * The answer to a worker's report if this node relays its block; only for a machine that holds tasks. Never by virtue
+   * of a lease extension: during an outage of the state service nobody raises the token, so a start command of the owner
+   * that is delayed beyond the partition could still be carried out for as long as the relay answers, though its job was
+   * cancelled long ago.
+   */
+  answer(report: Report, block: number): { token: number; orders: Order[] } | undefined {
+    const { cache, session, node } = this.deps;
+    const isRelayed = session.lease !== undefined && this.#relayed.get(block) === session.lease;
+    if (!isRelayed || !session.validByOwnLease || report.attempts.length === 0) return undefined;
+    const lease = read.lease(cache.get(KEY.lease(block))?.value);
+    if (!lease || lease.owner === node || this.reach.reaches(lease.owner, block)) return undefined;
+    return { token: lease.token, orders: stopsOfEnded(report, cache) };
+  }
+}
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -20,8 +20,8 @@
 import { BlockOwner, type OwnAnswer } from './block-owner';
 import { CloudView } from './cloud-view';
 import type { Deps } from './deps';
-import { Keeping } from './keeping';
 import { LeaseExtension } from './lease-extension';
+import { LeaseRelay } from './lease-relay';
 import { Leader } from './leader';
 import { isUnheard, Reach } from './reach';
 
@@ -48,7 +48,7 @@
 const LEADER_PAUSE_MS = 1_000;
 const OWNER_PAUSE_MS = 500;
 const PROGRESS_MS = 1_000;
-const KEEPING_MS = 250;
+const LEASE_RELAY_MS = 250;
 const TYPES_REFRESH_MS = 60_000;
 const FRESH_FOR_MS = 4_000;
 /** How far apart nodes may notice the same outage: their watches' ends, and the pace at which they speak. */
@@ -71,7 +71,7 @@
   readonly #cloudView: CloudView;
   readonly #leaseExtension: LeaseExtension;
   readonly #reach: Reach;
-  readonly #keeping: Keeping;
+  readonly #leaseRelay: LeaseRelay;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
   readonly #progress = new Map<string, JobProgress>();
@@ -133,7 +133,7 @@
       outside.startedAt,
     );
     this.#reach = new Reach(clock);
-    this.#keeping = new Keeping(this.#deps, this.#reach);
+    this.#leaseRelay = new LeaseRelay(this.#deps, this.#reach);
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -160,9 +160,9 @@
       await this.#ownerWake.wait(OWNER_PAUSE_MS);
       await this.#own();
     });
-    loop('keeping', async () => {
-      await clock.sleep(KEEPING_MS, signal);
-      await this.#keeping.step();
+    loop('lease relay', async () => {
+      await clock.sleep(LEASE_RELAY_MS, signal);
+      await this.#leaseRelay.step();
     });
     loop('lease extension', () => this.#leaseExtension.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
@@ -237,8 +237,8 @@
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
     if (!lease || lease.owner === this.#deps.node) return { kind: 'undecided' };
     this.#reach.turnAway(report.machine, record.block);
-    const kept = record.up ? this.#keeping.answer(report, record.block) : undefined;
-    if (kept) return { kind: 'accepted', ...kept };
+    const relayed = record.up ? this.#leaseRelay.answer(report, record.block) : undefined;
+    if (relayed) return { kind: 'accepted', ...relayed };
     // Sent back to an owner that is cut off, a worker would spend its lease waiting for it.
     const owner = this.#reach.reaches(lease.owner, record.block) ? lease.owner : undefined;
     return { kind: 'elsewhere', owner };
@@ -279,7 +279,7 @@
   #onChange(event: Event): void {
     for (const owner of this.#owners.values()) owner.onChange(event);
     const { key } = event;
-    if (key.startsWith(PREFIX.keep)) return;
+    if (key.startsWith(PREFIX.relay)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
     } else if (!key.startsWith(PREFIX.done) && !key.startsWith(PREFIX.machine)) {
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -60,7 +60,7 @@
 
   /**
    * A cancelled task on a machine that can't be reached is proved gone by returning the machine, also where many are
-   * silent at once and taken for a cut of ours, or other nodes keep the leases: a machine that hangs hears neither.
+   * silent at once and taken for a cut of ours, or other nodes relay the leases: a machine that hangs hears neither.
    */
   #endCancelled(now: number): void {
     for (const [, machine] of this.attempts.overdueStops(now)) {
@@ -221,7 +221,7 @@
     if (this.block.isKept) this.heedKeeping(now);
   }
 
-  /** Some node keeps leases, or has until now: any silent worker may have been answered just now. */
+  /** Some node relays leases, or has until now: any silent worker may have been answered just now. */
   heedKeeping(now: number): void {
     for (const machine of this.block.machines.values()) {
       if (machine.up) machine.answeredAt = Math.max(machine.answeredAt, now);
@@ -236,10 +236,10 @@
 
   /**
    * Machines whose workers' leases ran out: they have killed and forgotten all they had, for nobody can have answered
-   * them since, neither we nor a keeper.
+   * them since, neither we nor a relay.
    */
   async expire(): Promise<void> {
-    // Without the state service nobody can be asked who keeps; returning a machine proves its end all the same.
+    // Without the state service nobody can be asked who relays; returning a machine proves its end all the same.
     if (this.deps.store.troubled || this.#overdue(this.deps.clock.now()).length === 0) return;
     if (!(await this.block.nobodyKeeps())) return;
     // What was kept until a moment ago is in our view by now.
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -4,7 +4,7 @@
 import { DRIFT } from '../src/bookkeeping/session';
 import { WatchCache } from '../src/bookkeeping/watch-cache';
 import type { Deps } from '../src/coordination/deps';
-import { Keeping } from '../src/coordination/keeping';
+import { LeaseRelay } from '../src/coordination/lease-relay';
 import { Reach } from '../src/coordination/reach';
 import type { Event, StateStore } from '../src/protocol/state';
 import { parseReport } from '../src/protocol/workers';
@@ -145,7 +145,7 @@
   world.noRuleBroken();
 });
 
-test('a keeper answers by its own lease, never by promises', async () => {
+test('a relay answers by its own lease, never by a lease extension', async () => {
   const world = new World();
   await world.submit('req-1', { pieces: 1 }, 300);
   await world.until('it runs', () => world.running.length === 1);
@@ -163,10 +163,10 @@
       session: { valid: true, lease: 3, validByOwnLease: ownLease },
       store: { txn: () => Promise.resolve({ ok: true, revision: 2 }) },
     };
-    const keeping = new Keeping(deps as unknown as Deps, new Reach(world.clock));
+    const relay = new LeaseRelay(deps as unknown as Deps, new Reach(world.clock));
     await world.clock.advance(5_000);
-    await keeping.step();
-    assert.deepEqual(keeping.answer(report, 0), ownLease ? { token: 7, orders: [] } : undefined);
+    await relay.step();
+    assert.deepEqual(relay.answer(report, 0), ownLease ? { token: 7, orders: [] } : undefined);
   }
 });
 
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -35,9 +35,9 @@
   'record of a rental': (apply) => has(apply, 'live/machine/', 'up', false),
   'record that a machine is up': (apply) => has(apply, 'live/machine/', 'up', true),
   'deletion of machine records': (apply) => deletes(apply, 'live/machine/'),
-  'record that a node keeps': (apply) => sets(apply, 'live/keep/').length > 0,
-  'end of keeping': (apply) => deletes(apply, 'live/keep/'),
-  'proof that nobody keeps': (apply, guards) =>
+  'record of a lease relay': (apply) => sets(apply, 'live/keep/').length > 0,
+  'end of a lease relay': (apply) => deletes(apply, 'live/keep/'),
+  'proof that nobody relays': (apply, guards) =>
     apply.length === 0 && guards.some((g) => g.path.startsWith('live/keep/')),
   'leader record': (apply) => sets(apply, 'live/leader').length > 0,
   'node record': (apply) => sets(apply, 'live/node/').length > 0,
@@ -92,7 +92,7 @@
   const world = new World();
   const faults = judge(world);
   world.capacity = 4;
-  if (kind === 'proof that nobody keeps') {
+  if (kind === 'proof that nobody relays') {
     // It is needed only where returning a silent machine proves nothing.
     const heal = world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
     world.clock.after(70_000, heal);
--- a/test/walk-meetings.ts
+++ b/test/walk-meetings.ts
@@ -33,7 +33,7 @@
       gap: () => this.#gap(),
       'a held start of a cancelled job': () => this.#heldCancelled(),
       'held starts': () => this.#heldStarts(),
-      'a keeper unseen': () => this.#keeperUnseen(),
+      'a relay unseen': () => this.#relayUnseen(),
       'machines that hang': () => this.#hangs(),
     };
     const weighed = Object.entries(kinds).flatMap((kind, i) => (i < 1 ? [kind, kind] : [kind]));
@@ -201,8 +201,8 @@
     await this.#passes(1_000, 3_000);
   }
 
-  /** Few machines lose their owner, and find one that keeps them when their leases are nearly over. */
-  async #keeperUnseen(): Promise<void> {
+  /** Few machines lose their owner, and find a relay when their leases are nearly over. */
+  async #relayUnseen(): Promise<void> {
     const { walker } = this;
     const { world } = walker;
     await this.#busy(3);
--- a/test/zones.test.ts
+++ b/test/zones.test.ts
@@ -3,14 +3,14 @@
 import { World } from './fakes/world';
 
 /** Half of the machines, and one controller, can't reach the owner and the third controller, nor these them. */
-async function apart(world: World): Promise<{ owner: number; keeper: number; far: string[]; heal(): void }> {
+async function apart(world: World): Promise<{ owner: number; relay: number; far: string[]; heal(): void }> {
   await world.submit('req-1', { pieces: 32, reckonS: 60 }, 60);
   await world.until('32 tasks run', () => world.running.length >= 32);
   // There is room to start everything beyond the cut again, and once more: nothing but the owner's care prevents it.
   for (let n = 0; n < 4; n += 1) world.addWorker('b');
   await world.clock.advance(13_000);
   const owner = world.owner;
-  const keeper = (owner + 1) % 3;
+  const relay = (owner + 1) % 3;
   const third = (owner + 2) % 3;
   const used = new Set(world.running.map((piece) => world.where(piece) ?? ''));
   const far = [...used].slice(0, 4);
@@ -21,9 +21,9 @@
     const down = farAddresses.includes(to) && near.some((c) => c?.name === from);
     return up || down ? 'lose' : undefined;
   });
-  for (const c of near) world.apart.add(`${world.controllers[keeper]?.name}|${c?.name}`);
+  for (const c of near) world.apart.add(`${world.controllers[relay]?.name}|${c?.name}`);
   return {
-    ...{ owner, keeper, far },
+    ...{ owner, relay, far },
     heal: () => {
       remove();
       world.apart.clear();
@@ -33,7 +33,7 @@
 
 const starts = (world: World): number => [...world.workers.values()].flatMap((w) => w.startOrders).length;
 
-test('zones cut from each other for long: a controller beyond the cut keeps the leases, and no task is lost', async () => {
+test('zones cut from each other for long: a controller beyond the cut relays the leases, and no task is lost', async () => {
   const world = new World();
   const { owner, heal } = await apart(world);
   for (let second = 0; second < 30; second += 1) {
@@ -52,7 +52,7 @@
   world.noRuleBroken();
 });
 
-test('a cancellation reaches tasks beyond the cut through the keeper', async () => {
+test('a cancellation reaches tasks beyond the cut through the relay', async () => {
   const world = new World();
   const { owner, far } = await apart(world);
   await world.clock.advance(8000);
@@ -63,13 +63,13 @@
   world.noRuleBroken();
 });
 
-test('when the keeper dies, what it kept is issued again only after those leases have run out', async () => {
+test('when the relay dies, what it relayed is issued again only after those leases have run out', async () => {
   const world = new World();
-  const { owner, keeper, far } = await apart(world);
+  const { owner, relay, far } = await apart(world);
   world.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
   await world.clock.advance(15_000);
   assert.equal(world.running.length, 32);
-  world.kill(keeper);
+  world.kill(relay);
   await world.until(
     'all run again',
     () => world.running.every((p) => !far.includes(world.where(p) ?? '')),
@@ -79,18 +79,18 @@
   world.noRuleBroken();
 });
 
-test('when the owner dies during the cut, the one who takes over starts nothing that is kept elsewhere', async () => {
+test('when the owner dies during the cut, the one who takes over starts nothing that is relayed elsewhere', async () => {
   const world = new World();
-  const { owner, keeper, heal } = await apart(world);
+  const { owner, relay, heal } = await apart(world);
   await world.clock.advance(7000);
   world.kill(owner);
   await world.clock.advance(25_000);
   heal();
-  await world.untilStanding('req-1', 'done', 200, keeper);
+  await world.untilStanding('req-1', 'done', 200, relay);
   world.noRuleBroken();
 });
 
-test('a keeper may have answered up to the end of its record, however late the owner comes to look', async () => {
+test('a relay may have answered up to the end of its record, however late the owner comes to look', async () => {
   const world = new World();
   await world.submit('req-1', { pieces: 1 }, 60);
   await world.until('a task runs', () => world.running.length > 0);
@@ -102,7 +102,7 @@
   assert.equal(machine.answeredAt, world.clock.now());
 });
 
-test('a controller that comes back keeps no leases while it has yet to hear the others', async () => {
+test('a controller that comes back relays no leases while it has yet to hear the others', async () => {
   const world = new World();
   const owner = await world.untilOwned();
   const other = (owner + 1) % 3;
