--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as z from 'zod';
-import { paceFor, type Pace } from './pace';
+import { throttlingFor, type Throttling } from './throttling';
 import { shareSockets, type SocketShares } from './sockets';
 
 /** A setting that can't be used; the message names the field and the file in one line. */
@@ -92,7 +92,7 @@
   cancelDoubtMs: number;
   sockets: SocketShares;
   /** What follows from the share of a core, and the operator's own word where there is one. */
-  pace: Pace;
+  pace: Throttling;
   /** What may not work out, by the name of the setting. */
   warnings: string[];
 }
@@ -162,7 +162,7 @@
       `${files[0]}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
     );
   }
-  const derived = paceFor(p.deployment.quota.cpu, p.others.length + 1);
+  const derived = throttlingFor(p.deployment.quota.cpu, p.others.length + 1);
   const pace = {
     ...derived,
     blocks: o.blocks ?? derived.blocks,
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -30,7 +30,7 @@
     cpu: Number(((user + system) / 1000 / (systemClock.now() - from)).toFixed(3)),
     ...{ memoryMb: Math.round(rss / MB), heapMb: Math.round(heapUsed / MB) },
     ...{ connections: connections.size, workers: connections.workers },
-    lateMs: Math.round(node.lag.lateMs),
+    lateMs: Math.round(node.eventLoopDelay.delayMs),
   };
   log.info(usage, 'usage');
 }
--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -1,6 +1,6 @@
 import { attemptKey, type Job } from '../protocol/model';
 import type { Block } from './block';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import type { DispatchTable } from './dispatch-table';
 import { Health } from './health';
 import { attemptNumber, type Attempt, type Change, type Described, type Machine } from './machine';
@@ -23,7 +23,7 @@
 
   constructor(
     private readonly block: Block,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     /** A task completed. */
     private readonly completed: () => void,
     /** Orders for the machine are to leave. */
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -7,7 +7,7 @@
 import { Attempts } from './attempts';
 import { Block } from './block';
 import { Commander } from './commander';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import type { FleetInput, RentOption } from './fleet';
 import { FleetManager } from './fleet-manager';
 import { holdsRoom, type Machine } from './machine';
@@ -54,7 +54,7 @@
     token: number,
     leaseVersion: number,
     takenRevision: number,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#wake = new Wake(deps.clock);
     const wake = (): void => {
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -1,6 +1,6 @@
 import { KEY, PREFIX, read, type MachineRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { DispatchTable } from './dispatch-table';
 import { Estimates } from './estimates';
 import { Holdings } from './holdings';
@@ -39,7 +39,7 @@
     public token: number,
     public leaseVersion: number,
     readonly takenRevision: number,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     /** Work for a round. */
     readonly wake: () => void,
   ) {
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -3,7 +3,7 @@
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { sendCommand, type CommandResult } from './commands';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { issueToken, type Attempt, type Machine } from './machine';
 
 const MAX_ORDERS = 200;
@@ -32,7 +32,7 @@
   constructor(
     private readonly block: Block,
     private readonly attempts: () => Attempts,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     private readonly absorb: (machine: Machine, report: Report) => void,
   ) {
     this.#mostOut = deps.settings.sockets.commands;
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -3,7 +3,7 @@
 import { KEY, type MachineRecord } from '../bookkeeping/records';
 import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
 import type { Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { optionKey, planFleet, type FleetInput, type RentOption, type Rental } from './fleet';
 import type { Machine } from './machine';
 
@@ -38,7 +38,7 @@
 
   constructor(
     private readonly fleet: Fleet,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#recordWake = new Wake(deps.clock);
   }
@@ -56,7 +56,7 @@
   /** One step of renting; to be run in a loop. */
   async rentStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
-    if (signal.aborted || !this.fleet.entitled || !this.deps.lag.mayRent) return;
+    if (signal.aborted || !this.fleet.entitled || !this.deps.eventLoopDelay.allowsRenting) return;
     const now = this.deps.clock.now();
     const input = this.fleet.fleetInput((option) => (this.#refusedUntil.get(optionKey(option)) ?? 0) > now);
     if (!input) return;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -2,7 +2,7 @@
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
 import type { CloudView } from './cloud-view';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 
 const STRAY_AGE_S = 5;
 const STRAYS_AT_ONCE = 10;
@@ -14,7 +14,7 @@
  */
 export class Leader {
   constructor(
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     private readonly cloud: CloudView,
     /** Whether this process began so lately that it may still be bound by a promise. */
     private readonly isYoung: () => boolean,
--- a/src/coordination/lease-extension.ts
+++ b/src/coordination/lease-extension.ts
@@ -6,7 +6,7 @@
 import { KEY, PREFIX, read } from '../bookkeeping/records';
 import { DRIFT } from '../bookkeeping/session';
 import type { LeaseExtensionGrant, LeaseExtensionRequest, PeerMessage } from '../protocol/peers';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 
 /** Safety margin: the requester stops using a grant this long before it ends. */
 const UNUSED_MS = 400;
@@ -31,7 +31,7 @@
   #boundUntil: number;
 
   constructor(
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     private readonly broadcast: (message: PeerMessage) => void,
     /** Whether this node is acquiring a block at this moment. */
     private readonly isAcquiring: () => boolean,
--- a/src/coordination/lease-relay.ts
+++ b/src/coordination/lease-relay.ts
@@ -5,8 +5,8 @@
 import { KEY, read } from '../bookkeeping/records';
 import type { WatchCache } from '../bookkeeping/watch-cache';
 import type { Order, Report } from '../protocol/model';
-import type { Deps } from './deps';
-import { SILENT_MS, type Reach } from './reach';
+import type { NodeContext } from './node-context';
+import { PEER_TIMEOUT_MS, type PeerReachability } from './peer-reachability';
 
 /** How long a node goes on relaying after it last had a reason to. */
 const LINGER_MS = 3_000;
@@ -37,8 +37,8 @@
   readonly #startedAt: number;
 
   constructor(
-    private readonly deps: Deps,
-    private readonly reach: Reach,
+    private readonly deps: NodeContext,
+    private readonly reachability: PeerReachability,
   ) {
     this.#startedAt = deps.clock.now();
   }
@@ -69,8 +69,8 @@
     if (lease === undefined || lease.owner === node) return false;
     // A node that starts has not received anything from its peers yet. If it relayed then for no reason, unresponsive
     // workers would count as just answered, and a block that was taken over would wait for them for another lease.
-    const hasListened = now - this.#startedAt > SILENT_MS;
-    if (hasListened && !this.reach.reaches(lease.owner, block)) this.#neededAt.set(block, now);
+    const hasListened = now - this.#startedAt > PEER_TIMEOUT_MS;
+    if (hasListened && !this.reachability.reaches(lease.owner, block)) this.#neededAt.set(block, now);
     return now - (this.#neededAt.get(block) ?? -Infinity) < LINGER_MS;
   }
 
@@ -106,7 +106,7 @@
     const isRelayed = session.lease !== undefined && this.#relayed.get(block) === session.lease;
     if (!isRelayed || !session.validByOwnLease || report.attempts.length === 0) return undefined;
     const lease = read.lease(cache.get(KEY.lease(block))?.value);
-    if (!lease || lease.owner === node || this.reach.reaches(lease.owner, block)) return undefined;
+    if (!lease || lease.owner === node || this.reachability.reaches(lease.owner, block)) return undefined;
     return { token: lease.token, orders: stopsOfEnded(report, cache) };
   }
 }
--- a/src/coordination/deps.ts
+++ b/src/coordination/node-context.ts
@@ -1,5 +1,6 @@
+/** @file The services that the parts of a controller node share. */
 import type { Clock } from '../base/clock';
-import type { Lag } from '../base/lag';
+import type { EventLoopDelay } from '../base/event-loop-delay';
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
 import type { Settings } from '../base/settings';
@@ -13,14 +14,15 @@
 import type { Event, StateStore } from '../protocol/state';
 import type { HttpCaller } from '../transport/http-client';
 
-/** What the parts of a node share. All that touches the world outside is injected here. */
-export interface Deps {
+/** Shared services of one node. Clock, randomness and all input and output are injected here. */
+export interface NodeContext {
   readonly node: string;
   readonly settings: Settings;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
-  readonly lag: Lag;
+  /** Decides what work to shed under overload. */
+  readonly eventLoopDelay: EventLoopDelay;
   readonly store: StateStore;
   readonly cache: WatchCache;
   readonly formatGate: FormatGate;
@@ -30,7 +32,8 @@
   readonly cloud: Cloud;
   /** For calls to workers. */
   readonly workers: HttpCaller;
+  /** The machine types that the cloud offers. */
   types(): readonly MachineType[];
-  /** Passes a change that was just acknowledged to this node's copy and to the peers. */
+  /** Publishes a change that was just acknowledged to this node's cache and to the peers. */
   announce(event: Event): void;
 }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,5 +1,5 @@
 import { Wake, type Clock } from '../base/clock';
-import { Lag } from '../base/lag';
+import { EventLoopDelay } from '../base/event-loop-delay';
 import type { Log } from '../base/log';
 import { runLoop } from '../base/loop';
 import type { Random } from '../base/random';
@@ -19,13 +19,14 @@
 import { RateLimit } from '../transport/rate-limit';
 import { BlockOwner, type OwnAnswer } from './block-owner';
 import { CloudView } from './cloud-view';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { LeaseExtension } from './lease-extension';
 import { LeaseRelay } from './lease-relay';
 import { Leader } from './leader';
-import { isUnheard, Reach } from './reach';
+import { areMostUnreachable, PeerReachability } from './peer-reachability';
 
-export interface Outside {
+/** Clock, randomness, log and connections that a node is given. */
+export interface Environment {
   clock: Clock;
   /** Steady time at which this process began. */
   startedAt: number;
@@ -64,13 +65,13 @@
 /** One controller: its copy of the records, its lease, and the blocks that it owns. */
 export class Node {
   readonly jobs: JobStore;
-  readonly #deps: Deps;
+  readonly #deps: NodeContext;
   readonly #cache: WatchCache;
   readonly #session: Session;
   readonly #leader: Leader;
   readonly #cloudView: CloudView;
   readonly #leaseExtension: LeaseExtension;
-  readonly #reach: Reach;
+  readonly #reachability: PeerReachability;
   readonly #leaseRelay: LeaseRelay;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
@@ -84,10 +85,10 @@
 
   constructor(
     readonly settings: Settings,
-    private readonly outside: Outside,
+    private readonly environment: Environment,
     store?: StateStore,
   ) {
-    const { clock, log, http, workers, random } = outside;
+    const { clock, log, http, workers, random } = environment;
     const { platform } = settings;
     const { state, cloud } = platform.deployment;
     const stateStore =
@@ -110,14 +111,14 @@
     this.#session = new Session(platform.node, settings.blockLeaseMs, stateStore, this.#cache, clock, log);
     const announce = (event: Event): void => {
       this.#cache.offer(event);
-      outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
+      environment.broadcast(writePeerMessage({ kind: 'nudge', event }));
     };
     this.jobs = new JobStore(stateStore, clock, announce);
     const controllers = [platform.node, ...platform.others.map((other) => other.node)];
     this.#deps = {
       formatGate: new FormatGate(platform.node, controllers, stateStore, this.#cache),
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
-      lag: new Lag(clock),
+      eventLoopDelay: new EventLoopDelay(clock),
       ended: new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s),
       ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers, announce },
       types: () => this.#types,
@@ -127,13 +128,13 @@
     this.#leaseExtension = new LeaseExtension(
       this.#deps,
       (message) => {
-        outside.broadcast(writePeerMessage(message));
+        environment.broadcast(writePeerMessage(message));
       },
       () => this.#taking,
-      outside.startedAt,
+      environment.startedAt,
     );
-    this.#reach = new Reach(clock);
-    this.#leaseRelay = new LeaseRelay(this.#deps, this.#reach);
+    this.#reachability = new PeerReachability(clock);
+    this.#leaseRelay = new LeaseRelay(this.#deps, this.#reachability);
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -143,12 +144,12 @@
   }
 
   start(): void {
-    const { clock, log } = this.outside;
+    const { clock, log } = this.environment;
     const { signal } = this.#stop;
     const loop = (name: string, step: () => Promise<void>, pauseMs?: number): void => {
       void runLoop(name, step, { clock, log, signal }, pauseMs);
     };
-    loop('lag', () => this.#deps.lag.step(signal));
+    loop('event loop delay', () => this.#deps.eventLoopDelay.step(signal));
     loop('watch', () => this.#cache.step(), 300);
     loop('format mark', () => this.#markFormat(signal), 300);
     loop('session', () => this.#session.step(signal), 300);
@@ -192,7 +193,7 @@
   }
 
   get #fresh(): boolean {
-    return this.outside.clock.now() - this.#cache.freshAt < FRESH_FOR_MS;
+    return this.environment.clock.now() - this.#cache.freshAt < FRESH_FOR_MS;
   }
 
   /**
@@ -202,15 +203,15 @@
   get ready(): boolean {
     if (!this.informed) return false;
     if (this.#fresh || this.settings.platform.others.length === 0) return true;
-    if (this.outside.clock.now() - this.#peersHeardAt > PEER_MEMORY_MS) return false;
+    if (this.environment.clock.now() - this.#peersHeardAt > PEER_MEMORY_MS) return false;
     // In an outage all lose it, though not all notice at the same moment: each removal by the load balancer makes the
     // next return slower, so only peers that go on reaching it for longer count.
     return this.#peersFreshAt < this.#cache.freshAt + FRESH_FOR_MS + NOTICE_SPREAD_MS;
   }
 
   /** How this process keeps up with its work. */
-  get lag(): Lag {
-    return this.#deps.lag;
+  get eventLoopDelay(): EventLoopDelay {
+    return this.#deps.eventLoopDelay;
   }
 
   /** Adds what is known of a live job's progress, for display. */
@@ -236,18 +237,18 @@
     if (!record) return { kind: 'undecided' };
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
     if (!lease || lease.owner === this.#deps.node) return { kind: 'undecided' };
-    this.#reach.turnAway(report.machine, record.block);
+    this.#reachability.recordRedirect(report.machine, record.block);
     const relayed = record.up ? this.#leaseRelay.answer(report, record.block) : undefined;
     if (relayed) return { kind: 'accepted', ...relayed };
     // Sent back to an owner that is cut off, a worker would spend its lease waiting for it.
-    const owner = this.#reach.reaches(lease.owner, record.block) ? lease.owner : undefined;
+    const owner = this.#reachability.reaches(lease.owner, record.block) ? lease.owner : undefined;
     return { kind: 'elsewhere', owner };
   }
 
   onPeerFrame(bytes: Uint8Array): void {
     const message = readPeerMessage(bytes);
     if (!message) {
-      this.outside.log.info('a message of a peer could not be read');
+      this.environment.log.info('a message of a peer could not be read');
       return;
     }
     this.#onPeer(message);
@@ -266,9 +267,9 @@
       this.#leaseExtension.onGrant(message.promise);
       return;
     }
-    this.#peersHeardAt = this.outside.clock.now();
-    if (message.progress.fresh) this.#peersFreshAt = this.outside.clock.now();
-    this.#reach.onProgress(message.progress);
+    this.#peersHeardAt = this.environment.clock.now();
+    if (message.progress.fresh) this.#peersFreshAt = this.environment.clock.now();
+    this.#reachability.onProgress(message.progress);
     this.#takeProgress(message.progress.jobs);
   }
 
@@ -342,7 +343,7 @@
       );
       if (!result.ok) continue;
       // The tables are built from a view that holds everything the owner before us could have acted on.
-      while (cache.revision < result.revision && session.valid) await this.outside.clock.sleep(5);
+      while (cache.revision < result.revision && session.valid) await this.environment.clock.sleep(5);
       if (!session.valid || read.lease(cache.get(KEY.lease(block))?.value)?.owner !== node) {
         log.warn({ block }, 'a block was lost before it was taken');
         return;
@@ -365,7 +366,7 @@
   /** A node that is cut from most workers of its block gives it to one that they come to instead. */
   async #handOver(owner: BlockOwner): Promise<void> {
     const { machines, unheard } = owner.hearing();
-    const heir = this.#reach.heir(owner.block, machines, unheard);
+    const heir = this.#reachability.successor(owner.block, machines, unheard);
     const { store, cache, log } = this.#deps;
     const key = KEY.block(owner.block);
     const record = read.block(cache.get(key)?.value);
@@ -382,7 +383,7 @@
 
   async #markFormat(signal: AbortSignal): Promise<void> {
     const isMarked = await this.#deps.formatGate.mark();
-    await this.outside.clock.sleep(isMarked ? FORMAT_CHECK_MS : FORMAT_RETRY_MS, signal);
+    await this.environment.clock.sleep(isMarked ? FORMAT_CHECK_MS : FORMAT_RETRY_MS, signal);
   }
 
   async #refreshTypes(signal: AbortSignal): Promise<void> {
@@ -419,12 +420,12 @@
     this.#takeProgress(jobs);
     const unheard = [...this.#owners.values()].filter((owner) => {
       const { machines, unheard } = owner.hearing();
-      return isUnheard(machines, unheard);
+      return areMostUnreachable(machines, unheard);
     });
     const progress = {
       ...{ from: this.#deps.node, fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) },
-      ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reach.turnedAway() },
+      ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reachability.redirected() },
     };
-    this.outside.broadcast(writePeerMessage({ kind: 'progress', progress }));
+    this.environment.broadcast(writePeerMessage({ kind: 'progress', progress }));
   }
 }
--- /dev/null
+++ b/src/coordination/peer-reachability.ts
@@ -0,0 +1,75 @@
+/** @file Which peers, and which of their workers, this node takes for reachable. */
+import type { Clock } from '../base/clock';
+import type { Progress } from '../protocol/peers';
+
+/** How long a peer's message, or a report that was redirected, counts. */
+const MEMORY_MS = 6_000;
+/** Peers send a message about once a second: one that sent none for longer may be unreachable. */
+export const PEER_TIMEOUT_MS = 2_500;
+/** An owner that receives nothing from this share of its workers, while another node does, hands over its block. */
+const UNREACHABLE_SHARE = 0.7;
+/** Fewer machines than this say nothing about the node. */
+const MIN_UNREACHABLE = 3;
+
+/**
+ * Which node reaches which workers, as far as the nodes tell each other. A node may be unreachable for its workers
+ * alone, or for everybody. Its workers then report to its peers, and must not be redirected to it while they can't reach
+ * it: their leases would run out.
+ */
+export class PeerReachability {
+  readonly #peers = new Map<string, { at: number; progress: Progress }>();
+  readonly #redirected = new Map<string, { block: number; at: number }>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** A machine reported here although another node owns its block. */
+  recordRedirect(machine: string, block: number): void {
+    this.#redirected.set(machine, { block, at: this.clock.now() });
+  }
+
+  /** Takes in a peer's periodic message. */
+  onProgress(progress: Progress): void {
+    this.#peers.set(progress.from, { at: this.clock.now(), progress });
+  }
+
+  /** How many machines of each block were redirected from here lately. */
+  redirected(): { block: number; machines: number }[] {
+    const now = this.clock.now();
+    const counts = new Map<number, number>();
+    for (const [machine, { block, at }] of this.#redirected) {
+      if (now - at > MEMORY_MS) this.#redirected.delete(machine);
+      else counts.set(block, (counts.get(block) ?? 0) + 1);
+    }
+    return [...counts].map(([block, machines]) => ({ block, machines }));
+  }
+
+  /** Whether a worker may be redirected to the owner of its block. */
+  reaches(owner: string, block: number): boolean {
+    const peer = this.#peers.get(owner);
+    if (!peer || this.clock.now() - peer.at > PEER_TIMEOUT_MS) return false;
+    return !peer.progress.unheard.includes(block);
+  }
+
+  /**
+   * The node to hand a block of ours over to, because its workers reach that node and not this one; undefined when no
+   * node qualifies.
+   */
+  successor(block: number, machines: number, unreachable: number): string | undefined {
+    if (!areMostUnreachable(machines, unreachable)) return undefined;
+    const now = this.clock.now();
+    let best: { node: string; heard: number } | undefined;
+    let heard = 0;
+    for (const [node, { at, progress }] of this.#peers) {
+      if (now - at > PEER_TIMEOUT_MS || !progress.fresh) continue;
+      const here = progress.turnedAway.find((t) => t.block === block)?.machines ?? 0;
+      heard += here;
+      if (here > (best?.heard ?? 0)) best = { node, heard: here };
+    }
+    return heard >= machines / 2 ? best?.node : undefined;
+  }
+}
+
+/** Whether so many machines without a report mean that this node itself is the one that is unreachable. */
+export function areMostUnreachable(machines: number, unreachable: number): boolean {
+  return unreachable >= MIN_UNREACHABLE && unreachable >= machines * UNREACHABLE_SHARE;
+}
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -3,7 +3,7 @@
 import { blockCount } from '../bookkeeping/block-count';
 import { KEY, read } from '../bookkeeping/records';
 import type { Change, Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import type { DispatchTable } from './dispatch-table';
 
 /** What the recorder needs of the block. */
@@ -42,7 +42,7 @@
 
   constructor(
     private readonly block: Recorded,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#wake = new Wake(deps.clock);
   }
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -61,7 +61,7 @@
       handle: guarded(async ({ body }) => {
         const job = readSubmission(body);
         if (typeof job === 'string') return { status: 400, body: { error: job } };
-        if (node.types.length === 0 || !node.lag.maySubmit) return undecided();
+        if (node.types.length === 0 || !node.eventLoopDelay.allowsSubmissions) return undecided();
         const never = whyNever(job, node.types, teams);
         if (never !== undefined) {
           // An accepted job stays accepted, whatever the machine types say today.
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -2,7 +2,7 @@
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { chooseConsolidation, type SparseMachine } from './consolidation';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { eagerCandidates } from './eager';
 import type { FleetInput, FleetMachine, RentOption } from './fleet';
 import { holdsRoom, ranS, type Machine } from './machine';
@@ -41,7 +41,7 @@
   constructor(
     private readonly block: Block,
     private readonly attempts: Attempts,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {}
 
   get unplaced(): ReadonlyMap<string, number> {
@@ -55,7 +55,7 @@
     this.#eager(now);
     this.#endCancelled(now);
     this.#retire(now);
-    if (this.deps.lag.mayMeasure) this.#consolidate(now);
+    if (this.deps.eventLoopDelay.allowsOptimization) this.#consolidate(now);
   }
 
   /**
@@ -300,7 +300,7 @@
       if (machine) machine.leaving ??= 'silent';
     }
     if (candidates.length === 0 || !this.#complete || this.#unplaced.size > 0) return;
-    if (!this.deps.lag.mayMeasure) return;
+    if (!this.deps.eventLoopDelay.allowsOptimization) return;
     const rooms = [...this.block.machines.values()]
       .filter((m) => this.block.usable(m, now))
       .map((m) => ({ m, room: m.free() }));
--- a/src/coordination/token.ts
+++ b/src/coordination/token.ts
@@ -1,6 +1,6 @@
 import { KEY, read } from '../bookkeeping/records';
 import type { Block } from './block';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { issueToken } from './machine';
 
 const LOOK_MS = 250;
@@ -14,7 +14,7 @@
 
   constructor(
     private readonly block: Block,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#raisedAt = deps.clock.now();
   }
--- a/src/coordination/up-records.ts
+++ b/src/coordination/up-records.ts
@@ -1,7 +1,7 @@
 import { describe } from '../base/loop';
 import { KEY, type MachineRecord } from '../bookkeeping/records';
 import type { Block } from './block';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import type { Machine } from './machine';
 
 const GATHER_MS = 40;
@@ -23,7 +23,7 @@
 
   constructor(
     private readonly block: Block,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {}
 
   /** Resolves to true when the machine is recorded as up. */
--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -3,9 +3,9 @@
 import { makeSettings, PROMISE_MS } from '../src/base/settings';
 import { DRIFT } from '../src/bookkeeping/session';
 import { WatchCache } from '../src/bookkeeping/watch-cache';
-import type { Deps } from '../src/coordination/deps';
+import type { NodeContext } from '../src/coordination/node-context';
 import { LeaseRelay } from '../src/coordination/lease-relay';
-import { Reach } from '../src/coordination/reach';
+import { PeerReachability } from '../src/coordination/peer-reachability';
 import type { Event, StateStore } from '../src/protocol/state';
 import { parseReport } from '../src/protocol/workers';
 import { FakeClock } from './fakes/clock';
@@ -163,7 +163,7 @@
       session: { valid: true, lease: 3, validByOwnLease: ownLease },
       store: { txn: () => Promise.resolve({ ok: true, revision: 2 }) },
     };
-    const relay = new LeaseRelay(deps as unknown as Deps, new Reach(world.clock));
+    const relay = new LeaseRelay(deps as unknown as NodeContext, new PeerReachability(world.clock));
     await world.clock.advance(5_000);
     await relay.step();
     assert.deepEqual(relay.answer(report, 0), ownLease ? { token: 7, orders: [] } : undefined);
--- a/test/lean.test.ts
+++ b/test/lean.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { Wake } from '../src/base/clock';
-import { paceFor } from '../src/base/pace';
+import { throttlingFor } from '../src/base/throttling';
 import { idleNow, shareSockets } from '../src/base/sockets';
 import { read } from '../src/bookkeeping/records';
 import { codec } from '../src/protocol/codec';
@@ -15,13 +15,13 @@
 
 test('from an eighth of a core on nothing changes with the quota; below, budgets and blocks make up for it', () => {
   const usual = { blocks: 1, roundBudgetMs: 40, roundPauseMs: 200, watchPaceMs: 100 };
-  for (const cpu of [0.125, 0.136, 0.306, 0.34, 0.391, 1, 8]) assert.deepEqual(paceFor(cpu, 3), usual);
-  const small = paceFor(0.05, 3);
+  for (const cpu of [0.125, 0.136, 0.306, 0.34, 0.391, 1, 8]) assert.deepEqual(throttlingFor(cpu, 3), usual);
+  const small = throttlingFor(0.05, 3);
   // As much computing in a round as on an eighth of a core.
   assert.equal(small.roundBudgetMs * 0.05, usual.roundBudgetMs * 0.125);
   assert.equal(small.blocks, 3);
-  assert.equal(paceFor(0.01, 3).blocks, 3, 'never more blocks than controllers');
-  assert.equal(paceFor(0.05, 1).blocks, 1);
+  assert.equal(throttlingFor(0.01, 3).blocks, 3, 'never more blocks than controllers');
+  assert.equal(throttlingFor(0.05, 1).blocks, 1);
 });
 
 test('a number of blocks that followed from an earlier quota stays, and every team lies in one block only', async () => {
@@ -106,15 +106,15 @@
   assert.deepEqual(ends, [30, 30, 100, 330]);
 });
 
-test('a process that falls behind gives way in order, and workers, leases and the health probe last', async () => {
+test('a process that falls behind sheds load in order, and workers, leases and the health probe last', async () => {
   const world = new World();
   const owner = await world.untilOwned();
   const controller = world.controllers[owner];
   assert.ok(controller);
   await world.submit('req-1', { pieces: 4 }, 60);
   await world.until('its tasks run', () => world.running.length === 4);
-  const { lag } = controller.node;
-  const givesWay = (): boolean[] => [lag.mayMeasure, lag.mayRent, lag.maySubmit];
+  const { eventLoopDelay: delay } = controller.node;
+  const givesWay = (): boolean[] => [delay.allowsOptimization, delay.allowsRenting, delay.allowsSubmissions];
   assert.deepEqual(givesWay(), [true, true, true]);
   const standStill = async (ms: number): Promise<void> => {
     const thaw = world.freeze(owner);
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Block } from '../src/coordination/block';
-import type { Deps } from '../src/coordination/deps';
+import type { NodeContext } from '../src/coordination/node-context';
 import type { Machine } from '../src/coordination/machine';
 import { UpRecords } from '../src/coordination/up-records';
 import { NoAnswer } from '../src/transport/http-client';
@@ -316,7 +316,7 @@
   const known = { 'live/machine/host-2': 7 } as Record<string, number>;
   const cache = { version: (key: string) => known[key] ?? 0 };
   const settings = { platform: { deployment: { state: { txn_ops: 32 } } } };
-  const deps = { cache, store, clock, settings, log: { info: () => undefined } } as unknown as Deps;
+  const deps = { cache, store, clock, settings, log: { info: () => undefined } } as unknown as NodeContext;
   const block = { leaseGuard: () => ({ key: 'live/lease/0', version: 3 }) } as unknown as Block;
   const upRecords = new UpRecords(block, deps);
   const machine = (id: string): Machine =>
