--- a/src/coordination/estimates.ts
+++ b/src/coordination/estimates.ts
@@ -1,19 +1,24 @@
+/** @file Learns how long tasks run compared with what users estimated. */
 import type { Job } from '../protocol/model';
 
+/** Weight of the newest task in the moving average. */
 const WEIGHT = 0.05;
-const LEAST = 0.2;
-const MOST = 5;
+/** Bounds on the ratio of run time to estimate, against outliers. */
+const MIN_RATIO = 0.2;
+const MAX_RATIO = 5;
 
-/** How long tasks really run against their owners' estimates, learned by class. */
+/** Ratios of real run time to the users' estimates, learned per job class as a moving average. */
 export class Estimates {
   readonly #ratios = new Map<string, number>();
 
+  /** Takes in that a task of the job ran for so long. */
   learn(job: Job, ranS: number): void {
-    const ratio = Math.min(MOST, Math.max(LEAST, ranS / job.estimateS));
+    const ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ranS / job.estimateS));
     const before = this.#ratios.get(job.jobClass) ?? 1;
     this.#ratios.set(job.jobClass, before + WEIGHT * (ratio - before));
   }
 
+  /** The expected run time of a task of the job, in seconds. */
   runS(job: Job): number {
     return job.estimateS * (this.#ratios.get(job.jobClass) ?? 1);
   }
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -1,3 +1,4 @@
+/** @file Rents, records and returns a block's machines. */
 import { Wake } from '../base/clock';
 import { describe } from '../base/loop';
 import { KEY, type MachineRecord } from '../bookkeeping/records';
@@ -20,14 +21,18 @@
 }
 
 const PAUSE_MS = 700;
+/** How long an option that the cloud had no capacity for is not tried again. */
 const REFUSED_MS = 12_000;
 const RENT_TRIES = 6;
 const RETRY_MS = 1_500;
-/** Few enough that a small limit on changes lets other writes go in between. */
+/** Small batches, so that other writes get their share of a small limit on changes. */
 const RECORDS_AT_ONCE = 8;
 const RECORDS_DELETED_AT_ONCE = 20;
 
-/** Rents and returns the block's machines. */
+/**
+ * Rents and returns the block's machines in three independent loops: a cloud that doesn't take machines back can still
+ * rent, and a slow state service doesn't delay renting.
+ */
 export class FleetManager {
   readonly #refusedUntil = new Map<string, number>();
   /** Rented machines that the state service does not know yet. */
@@ -43,11 +48,11 @@
     this.#recordWake = new Wake(deps.clock);
   }
 
-  /** One step of returning; to be run in a loop of its own, so that a cloud that won't take back can still rent. */
+  /** One step of returning machines; to be run in a loop of its own. */
   async returnStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
     if (signal.aborted || !this.fleet.entitled) return;
-    // Records come last: without the state service they can't be deleted, while a machine's return may be what ends a
+    // Records are deleted last: that needs the state service, while the return of a machine may be what stops a
     // cancelled task in time.
     await this.#release();
     await this.#deleteRecords();
@@ -61,7 +66,7 @@
     const input = this.fleet.fleetInput((option) => (this.#refusedUntil.get(optionKey(option)) ?? 0) > now);
     if (!input) return;
     const unrecorded = [...this.#unrecorded].map(([id, { type, zone, spot }]) => {
-      return { ...{ id, type, zone, spot }, ...{ booting: true, ageMs: 0, idleMs: 0 } };
+      return { id, type, zone, spot, booting: true, ageMs: 0, idleMs: 0 };
     });
     const plan = planFleet({ ...input, machines: [...input.machines, ...unrecorded] });
     for (const id of plan.release) {
@@ -80,7 +85,7 @@
     );
     if (leaving.length === 0) return;
     const batch = leaving.slice(0, MAX_RELEASE);
-    // From here on the machine may vanish at any moment, answer or not: it is never used again.
+    // From here on the machine may disappear at any moment, whatever the cloud answers: it is never used again.
     for (const machine of batch) machine.releasing = true;
     await this.deps.cloud.release(batch.map((m) => m.id));
     for (const machine of batch) {
@@ -120,7 +125,7 @@
   }
 
   async #rentOnce(rental: Rental, count: number, signal: AbortSignal): Promise<number> {
-    // The name is random and never used again; a repeat under it can't rent twice.
+    // The request's name is random and used once, so that a retry can't rent twice.
     const request = {
       name: this.deps.random.uniqueName(),
       type: rental.type.name,
@@ -142,7 +147,7 @@
         await this.deps.clock.sleep(RETRY_MS, signal);
       }
     }
-    // Given up: if it was carried out, or is later, its machines turn up in the list and are taken in there.
+    // Given up. If the request is carried out after all, its machines appear in the cloud's list and are adopted.
     return 0;
   }
 
@@ -151,8 +156,8 @@
   }
 
   /**
-   * One step of recording what was rented; to be run in a loop of its own, for a fleet of hundreds takes longer to
-   * write down, inside the limit on changes, than to rent, and what users ask for goes in between.
+   * One step of recording what was rented; to be run in a loop of its own. Within the limit on changes, recording
+   * hundreds of machines takes longer than renting them, and users' requests have to be written in between.
    */
   async recordStep(signal: AbortSignal): Promise<void> {
     await this.#recordWake.wait(1000);
@@ -161,14 +166,19 @@
       const changes = batch.map(([id, { type, zone, spot, rentedAt }]) => ({
         put: KEY.machine(id),
         value: {
-          ...{ block: this.fleet.block, address: '', type: type.name, zone, spot, up: false },
+          block: this.fleet.block,
+          address: '',
+          type: type.name,
+          zone,
+          spot,
+          up: false,
           rentedAt,
         } satisfies MachineRecord,
       }));
       const guards = changes.map((c) => ({ key: c.put, version: 0 }));
       const result = await this.deps.store.txn([this.fleet.leaseGuard(), ...guards], changes);
       for (const [id] of batch) {
-        // One that has a record already was taken in as a stray; the others are tried again.
+        // A machine that has a record already was adopted from the cloud's list; the others are tried again.
         if (result.ok || result.failed.includes(KEY.machine(id))) this.#unrecorded.delete(id);
       }
       if (!result.ok) {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,6 +1,8 @@
+/** @file Plans which machines to rent for waiting work and which idle ones to return. */
 import { takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 import { fits, mayUse, zoneAllows } from './placement';
 
+/** A machine of the fleet, as far as renting and returning need to know it. */
 export interface FleetMachine {
   readonly id: string;
   readonly type: MachineType;
@@ -13,16 +15,19 @@
   readonly idleMs: number;
 }
 
+/** A kind of machine that can be rented in a zone. */
 export interface RentOption {
   type: MachineType;
   zone: string;
   spot: boolean;
 }
 
+/** So many machines of one kind to rent. */
 export interface Rental extends RentOption {
   count: number;
 }
 
+/** Tasks of one job that found no room. */
 export interface UnplacedWork {
   readonly job: Job;
   readonly count: number;
@@ -33,6 +38,7 @@
   readonly zones?: ReadonlyMap<string, number>;
 }
 
+/** A snapshot of the waiting work and of the fleet. */
 export interface FleetInput {
   /** Tasks that found no room, in order. */
   readonly unplaced: readonly UnplacedWork[];
@@ -50,6 +56,7 @@
   readonly freeCpus: number;
 }
 
+/** What to rent, and the ids of the machines to return. */
 export interface FleetPlan {
   rent: Rental[];
   release: string[];
@@ -57,83 +64,143 @@
 
 /** A machine costs at least this long, so an earlier release saves nothing. */
 const LEAST_CHARGE_MS = 60_000;
+/** Work that may run on spot machines waits for one while its slack is longer than this many boots. */
 const PATIENCE_IN_BOOTS = 1.5;
+/** How much dearer a zone counts for each machine that is there already, as a share of the price. */
+const ZONE_PENALTY = 0.001;
+const EPSILON = 1e-6;
 
+/** A string that is the same for equal options. */
 export function optionKey(option: RentOption): string {
   return `${option.type.name}|${option.zone}|${option.spot ? 'spot' : 'ordinary'}`;
 }
 
+/** How many tasks of the job an empty machine of the type has room for. */
 function capacity(type: MachineType, job: Job): number {
   return Math.floor(
     Math.min(
       type.cpus / job.cpus,
       job.memoryGb > 0 ? type.memoryGb / job.memoryGb : Infinity,
       job.gpus > 0 ? type.gpus / job.gpus : Infinity,
-    ) + 1e-6,
+    ) + EPSILON,
   );
 }
 
-/** Which machines to rent for the backlog that the present ones won't absorb, and which empty ones to return. */
+/** Chooses machines to rent for the backlog that the present ones won't absorb, and idle ones to return. */
 export function planFleet(input: FleetInput): FleetPlan {
-  const options: RentOption[] = input.types.flatMap((type) =>
-    type.zones.flatMap((zone) => [true, false].map((spot) => ({ type, zone, spot }))),
-  );
-  const perZone = new Map<string, number>();
-  for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
-  const bins: { option: RentOption; room: Resources; isNew: boolean }[] = input.machines
-    .filter((m) => m.booting)
-    .map((m) => ({
-      option: m,
-      room: { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb },
-      isNew: false,
-    }));
-  // What comes free is counted over all zones and types: work that may go to none of those machines would wait for it as
-  // long as anything short runs elsewhere.
-  const mayUseAny = (job: Job, zones: ReadonlyMap<string, number>): boolean =>
-    input.machines.some((m) => !m.booting && mayUse(job, m) && zoneAllows(job, zones, m.zone));
-  let freeing = input.freeingCpus;
-  for (const { job, count, urgent, slackMs, zones: taken } of input.unplaced) {
-    let left = count;
-    // A machine in a zone where its other tasks keep it from going is of no use to it, however many are rented.
-    const zones = new Map(taken);
-    if (!urgent && mayUseAny(job, zones)) {
-      const absorbed = Math.min(left, Math.floor(freeing / job.cpus));
-      left -= absorbed;
-      freeing -= absorbed * job.cpus;
-    }
-    // Room only shrinks, and zones only fill: a machine that had none for the last task of a job has none for its next.
+  const planner = new RentalPlanner(input);
+  for (const work of input.unplaced) planner.add(work);
+  return { rent: planner.rentals(), release: input.allMayStart ? chooseReleases(input) : [] };
+}
+
+/** A machine that boots or is to be rented, with the room that is left there. */
+interface Bin {
+  readonly option: RentOption;
+  readonly room: Resources;
+  readonly isNew: boolean;
+}
+
+type ZoneCounts = Map<string, number>;
+
+/** Fills waiting work into machines that are booting, and into new ones where it needs them. */
+class RentalPlanner {
+  readonly #options: readonly RentOption[];
+  readonly #bins: Bin[];
+  readonly #machinesPerZone: ZoneCounts = new Map();
+  #freeingCpus: number;
+
+  constructor(private readonly input: FleetInput) {
+    this.#options = input.types.flatMap((type) =>
+      type.zones.flatMap((zone) => [true, false].map((spot) => ({ type, zone, spot }))),
+    );
+    for (const machine of input.machines) increment(this.#machinesPerZone, machine.zone);
+    this.#bins = input.machines
+      .filter((machine) => machine.booting)
+      .map((machine) => ({ option: machine, room: emptyRoom(machine.type), isNew: false }));
+    this.#freeingCpus = input.freeingCpus;
+  }
+
+  /** Finds a place for each task of the work, as far as the cloud's options allow. */
+  add(work: UnplacedWork): void {
+    const { job } = work;
+    // A machine in a zone that the job's other tasks exclude is of no use to it, however many are rented there.
+    const zones: ZoneCounts = new Map(work.zones);
+    let left = work.count - this.#absorbed(work, zones);
+    // Rooms only shrink and zones only fill: a bin without room for one task of a job has none for the job's next.
     let at = 0;
     while (left > 0) {
-      while (at < bins.length) {
-        const b = bins[at];
-        if (b && mayUse(job, b.option) && zoneAllows(job, zones, b.option.zone) && fits(job, b.room)) break;
-        at += 1;
-      }
-      let bin = bins[at];
-      if (!bin) {
-        const option = cheapest({ job, tasks: left, slackMs, zones }, options, input.refused, perZone);
-        if (!option) break;
-        perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
-        const { cpus, gpus, memoryGb } = option.type;
-        bin = { option, room: { cpus, gpus, memoryGb }, isNew: true };
-        bins.push(bin);
-      }
+      at = this.#nextBin(job, zones, at);
+      const bin = this.#bins[at] ?? this.#rent(work, left, zones);
+      if (!bin) break;
       takeFrom(bin.room, job);
-      zones.set(bin.option.zone, (zones.get(bin.option.zone) ?? 0) + 1);
+      increment(zones, bin.option.zone);
       left -= 1;
     }
   }
-  const rentals = new Map<string, Rental>();
-  for (const { option, isNew } of bins) {
-    if (!isNew) continue;
-    const key = optionKey(option);
-    const rental = rentals.get(key) ?? { type: option.type, zone: option.zone, spot: option.spot, count: 0 };
-    rental.count += 1;
-    rentals.set(key, rental);
+
+  /** The machines to rent, by option. */
+  rentals(): Rental[] {
+    const rentals = new Map<string, Rental>();
+    for (const { option, isNew } of this.#bins) {
+      if (!isNew) continue;
+      const key = optionKey(option);
+      const { type, zone, spot } = option;
+      const rental = rentals.get(key) ?? { type, zone, spot, count: 0 };
+      rental.count += 1;
+      rentals.set(key, rental);
+    }
+    return [...rentals.values()];
   }
-  return { rent: [...rentals.values()], release: input.allMayStart ? chooseReleases(input) : [] };
+
+  /** How many of the tasks will run in room that comes free before a new machine could be up. */
+  #absorbed({ job, count, urgent }: UnplacedWork, zones: ZoneCounts): number {
+    if (urgent || !this.#mayUseAny(job, zones)) return 0;
+    const absorbed = Math.min(count, Math.floor(this.#freeingCpus / job.cpus));
+    this.#freeingCpus -= absorbed * job.cpus;
+    return absorbed;
+  }
+
+  /**
+   * Room that comes free is counted over all zones and types. Work that may use none of those machines must not count on
+   * it: it would wait for as long as any short work runs elsewhere.
+   */
+  #mayUseAny(job: Job, zones: ZoneCounts): boolean {
+    return this.input.machines.some(
+      (machine) => !machine.booting && mayUse(job, machine) && zoneAllows(job, zones, machine.zone),
+    );
+  }
+
+  /** The index of the first bin from `at` on with room for a task of the job. */
+  #nextBin(job: Job, zones: ZoneCounts, at: number): number {
+    let next = at;
+    for (; next < this.#bins.length; next += 1) {
+      const bin = this.#bins[next];
+      if (!bin || !mayUse(job, bin.option)) continue;
+      if (zoneAllows(job, zones, bin.option.zone) && fits(job, bin.room)) break;
+    }
+    return next;
+  }
+
+  #rent({ job, slackMs }: UnplacedWork, tasks: number, zones: ZoneCounts): Bin | undefined {
+    const work = { job, tasks, slackMs, zones };
+    const option = cheapest(work, this.#options, this.input.refused, this.#machinesPerZone);
+    if (!option) return undefined;
+    increment(this.#machinesPerZone, option.zone);
+    const bin = { option, room: emptyRoom(option.type), isNew: true };
+    this.#bins.push(bin);
+    return bin;
+  }
+}
+
+function increment(counts: ZoneCounts, zone: string): void {
+  counts.set(zone, (counts.get(zone) ?? 0) + 1);
+}
+
+function emptyRoom({ cpus, gpus, memoryGb }: MachineType): Resources {
+  return { cpus, gpus, memoryGb };
 }
 
+/** The cheapest option for tasks of the work; undefined when none fits, or the cloud refused all of them lately. */
 function cheapest(
   work: { job: Job; tasks: number; slackMs: number; zones: ReadonlyMap<string, number> },
   options: readonly RentOption[],
@@ -150,7 +217,7 @@
     if (!option.spot && job.spot && slackMs > option.type.bootS * 1000 * PATIENCE_IN_BOOTS) continue;
     const price = option.spot ? option.type.spotPrice : option.type.price;
     // Spread over the zones where the price is the same, so that a failing zone takes less with it.
-    const cost = (price / Math.min(fit, tasks)) * (1 + 0.001 * (perZone.get(option.zone) ?? 0));
+    const cost = (price / Math.min(fit, tasks)) * (1 + ZONE_PENALTY * (perZone.get(option.zone) ?? 0));
     if (cost < bestCost) {
       best = option;
       bestCost = cost;
@@ -159,6 +226,7 @@
   return best;
 }
 
+/** The machines that were idle for long enough, dearest first, as far as enough room stays free. */
 function chooseReleases(input: FleetInput): string[] {
   const idle = input.machines.filter(
     (m) => !m.booting && m.idleMs >= input.idleReleaseMs && m.ageMs >= LEAST_CHARGE_MS,
@@ -167,10 +235,10 @@
   idle.sort((a, b) => price(b) - price(a) || b.idleMs - a.idleMs);
   const release: string[] = [];
   let free = input.freeCpus;
-  for (const m of idle) {
-    if (free - m.type.cpus < input.warmCpus) continue;
-    free -= m.type.cpus;
-    release.push(m.id);
+  for (const machine of idle) {
+    if (free - machine.type.cpus < input.warmCpus) continue;
+    free -= machine.type.cpus;
+    release.push(machine.id);
   }
   return release;
 }
--- a/src/coordination/health.ts
+++ b/src/coordination/health.ts
@@ -1,19 +1,24 @@
+/** @file Tells faulty machines from faulty jobs by the tasks that fail. */
 import type { DispatchTable } from './dispatch-table';
 import type { Machine } from './machine';
 
+/** Failures in a row of one job, which succeeds elsewhere, after which a machine is sick. */
 const ERRORS_OF_ONE_JOB = 3;
+/** Different jobs failing in a row after which a machine is sick. */
 const JOBS_WITH_ERRORS = 2;
 
 /**
- * Tells sick machines from faulty jobs. A machine that fails tasks of several jobs in a row, or again and again tasks
- * of a job that succeeds elsewhere, is sick; a job that fails on several machines blames no more of them.
+ * Marks machines as sick. A machine is sick when tasks of several jobs fail there in a row, or repeatedly tasks of a job
+ * that succeeds elsewhere. A job that is suspect itself, because it failed on several machines, counts against none.
  */
 export class Health {
+  /** A task completed on the machine. */
   succeeded(machine: Machine): void {
     machine.errorsInRow = 0;
     machine.errorJobs.clear();
   }
 
+  /** A task of the table's job failed on the machine. */
   failed(machine: Machine, table: DispatchTable): void {
     if (table.suspect) return;
     machine.errorsInRow += 1;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,3 +1,4 @@
+/** @file Chooses running tasks to stop so that waiting tasks of more right get their room. */
 import {
   addTo,
   PRIORITY_RANK,
@@ -17,6 +18,7 @@
   type WaitingJob,
 } from './placement';
 
+/** A running task that may have to be stopped. */
 export interface Victim {
   readonly key: string;
   readonly job: Job;
@@ -26,6 +28,7 @@
   readonly stopping: boolean;
 }
 
+/** A machine with its tasks and the room that is free there. */
 export interface CrowdedMachine {
   readonly id: string;
   readonly type: MachineType;
@@ -35,6 +38,7 @@
   readonly tasks: readonly Victim[];
 }
 
+/** A snapshot of what waits and what runs. */
 export interface PreemptionInput {
   /** Jobs that found no room, in order, and how many tasks each. */
   readonly unplaced: readonly { waiting: WaitingJob; count: number }[];
@@ -62,104 +66,147 @@
   return unsavedS <= job.saveS ? { graceS: 0, lossS: unsavedS } : { graceS: job.saveS, lossS: job.saveS };
 }
 
+/** The tasks to stop, each with its machine, and how many machines were examined for that. */
+export interface PreemptionResult {
+  victims: { key: string; machine: string }[];
+  looks: number;
+}
+
 /**
- * Which running tasks to stop so that waiting ones get room: those of a lower priority, and, for a team short of its
- * guarantee, those that another team runs beyond its own. Nothing else is stopped for room.
+ * Chooses running tasks to stop so that waiting ones get room: tasks of a lower priority and, for a team below its
+ * guarantee, tasks that another team runs beyond its own guarantee. Nothing else is stopped for room.
  */
 export function choosePreemptions(
   input: PreemptionInput,
   timeIsUp: () => boolean = () => false,
-): { victims: { key: string; machine: string }[]; looks: number } {
-  let looks = 0;
-  const none = { cpus: 0, gpus: 0 };
-  const use = new Map([...input.use].map(([team, u]) => [team, { ...u }]));
-  const useOf = (team: string): { cpus: number; gpus: number } => use.get(team) ?? { ...none };
+): PreemptionResult {
+  return new PreemptionPlanner(input).run(timeIsUp);
+}
+
+/** The state of one choice: rooms and teams' use change with each task that is chosen. */
+class PreemptionPlanner {
+  readonly #use: Map<string, TeamUse>;
   /** The machine of each task that is to be stopped. */
-  const stopped = new Map<string, string>();
-  const rooms = new Map<string, Resources>();
-  for (const m of input.machines) {
-    const room = { ...m.free };
-    for (const v of m.tasks) if (v.stopping) addTo(room, v.job);
-    rooms.set(m.id, room);
+  readonly #stopped = new Map<string, string>();
+  readonly #rooms = new Map<string, Resources>();
+  readonly #hopeless = new Hopeless();
+  #looks = 0;
+
+  constructor(private readonly input: PreemptionInput) {
+    this.#use = new Map([...input.use].map(([team, use]) => [team, { ...use }]));
+    for (const machine of input.machines) {
+      const room = { ...machine.free };
+      for (const task of machine.tasks) if (task.stopping) addTo(room, task.job);
+      this.#rooms.set(machine.id, room);
+    }
   }
-  const mayStop = (waiting: Job, victim: Victim): boolean => {
-    if (victim.stopping || stopped.has(victim.key)) return false;
-    if (PRIORITY_RANK[victim.job.priority] > PRIORITY_RANK[waiting.priority]) return true;
-    // Never one of a higher priority, though the rules would allow it: room goes by priority first, so it would be
-    // stopped for the guarantee, stop the other by its priority in turn, and so on for ever.
-    if (PRIORITY_RANK[victim.job.priority] < PRIORITY_RANK[waiting.priority]) return false;
-    if (victim.job.team === waiting.team) return false;
-    const mine = input.teams.get(waiting.team);
-    const theirs = input.teams.get(victim.job.team);
-    if (!mine || !theirs || mine.cpus === 0) return false;
-    const owed = useOf(waiting.team).cpus + waiting.cpus <= mine.cpus + EPSILON;
-    return owed && useOf(victim.job.team).cpus - victim.job.cpus >= theirs.cpus - EPSILON;
-  };
-  const hopeless = new Hopeless();
-  const plan = (job: Job, machine: CrowdedMachine): Plan | undefined => {
-    looks += 1;
-    const room = { ...(rooms.get(machine.id) ?? machine.free) };
+
+  run(timeIsUp: () => boolean): PreemptionResult {
+    for (const { waiting, count } of this.input.unplaced) {
+      const { job } = waiting;
+      // What is owed to one team is not owed to another; otherwise similar jobs find similar victims.
+      const group = `${job.priority} ${job.team}`;
+      if (timeIsUp()) break;
+      if (this.#hopeless.has(group, job)) continue;
+      const left = this.#makeRoom(waiting, count);
+      if (left === count && anywhere(waiting)) this.#hopeless.add(group, job);
+    }
+    return { victims: [...this.#stopped].map(([key, machine]) => ({ key, machine })), looks: this.#looks };
+  }
+
+  /** Makes room for up to `count` tasks of a job; returns for how many there was none. */
+  #makeRoom(waiting: WaitingJob, count: number): number {
+    let left = count;
+    while (left > 0) {
+      const before = left;
+      left = this.#makeRoomOnce(waiting, left);
+      if (left === before) break;
+    }
+    return left;
+  }
+
+  /** One pass over all machines, the least loss first; a machine is examined again only after a task went there. */
+  #makeRoomOnce(waiting: WaitingJob, count: number): number {
+    const { job } = waiting;
+    let left = count;
+    for (const first of this.#plans(waiting)) {
+      // The teams' use changes as tasks are chosen: the plan made for this machine before may no longer hold.
+      const holds = first.victims.every((victim) => this.#mayStop(job, victim));
+      let next = holds ? first : this.#plan(job, first.machine);
+      while (next && left > 0 && next.loss <= first.loss) {
+        this.#carryOut(job, next);
+        left -= 1;
+        next = left > 0 ? this.#plan(job, first.machine) : undefined;
+      }
+      if (left === 0) break;
+    }
+    return left;
+  }
+
+  #plans(waiting: WaitingJob): Plan[] {
+    const { job } = waiting;
+    const plans: Plan[] = [];
+    for (const machine of this.input.machines) {
+      if (!mayUse(job, machine) || waiting.avoid.has(machine.id)) continue;
+      if (!zoneAllows(job, waiting.zones, machine.zone)) continue;
+      const plan = this.#plan(job, machine);
+      if (plan) plans.push(plan);
+    }
+    return plans.sort((a, b) => a.loss - b.loss);
+  }
+
+  /** What to stop on a machine for one task of the job; undefined when that can't make enough room. */
+  #plan(job: Job, machine: CrowdedMachine): Plan | undefined {
+    this.#looks += 1;
+    const room = { ...(this.#rooms.get(machine.id) ?? machine.free) };
+    if (fits(job, room)) return { machine, victims: [], loss: 0 };
+    const stoppable = machine.tasks.filter((task) => this.#mayStop(job, task));
+    stoppable.sort(
+      (a, b) => PRIORITY_RANK[b.job.priority] - PRIORITY_RANK[a.job.priority] || a.lossS - b.lossS,
+    );
     const victims: Victim[] = [];
     let loss = 0;
-    if (!fits(job, room)) {
-      const stoppable = machine.tasks.filter((v) => mayStop(job, v));
-      if (stoppable.length === 0) return undefined;
-      stoppable.sort(
-        (a, b) => PRIORITY_RANK[b.job.priority] - PRIORITY_RANK[a.job.priority] || a.lossS - b.lossS,
-      );
-      for (const victim of stoppable) {
-        if (fits(job, room)) break;
-        addTo(room, victim.job);
-        victims.push(victim);
-        loss += victim.lossS * victim.job.cpus;
-      }
+    for (const victim of stoppable) {
+      if (fits(job, room)) break;
+      addTo(room, victim.job);
+      victims.push(victim);
+      loss += victim.lossS * victim.job.cpus;
     }
     return fits(job, room) ? { machine, victims, loss } : undefined;
-  };
-  const carryOut = (job: Job, { machine, victims }: Plan): void => {
-    const room = rooms.get(machine.id);
+  }
+
+  #mayStop(waiting: Job, victim: Victim): boolean {
+    if (victim.stopping || this.#stopped.has(victim.key)) return false;
+    if (PRIORITY_RANK[victim.job.priority] > PRIORITY_RANK[waiting.priority]) return true;
+    // Never a task of a higher priority, though the rules would allow it: room is given by priority first, so that task
+    // would be stopped for the guarantee, then stop the other by its priority, and so on without end.
+    if (PRIORITY_RANK[victim.job.priority] < PRIORITY_RANK[waiting.priority]) return false;
+    if (victim.job.team === waiting.team) return false;
+    const mine = this.input.teams.get(waiting.team);
+    const theirs = this.input.teams.get(victim.job.team);
+    if (!mine || !theirs || mine.cpus === 0) return false;
+    const isOwed = this.#useOf(waiting.team).cpus + waiting.cpus <= mine.cpus + EPSILON;
+    return isOwed && this.#useOf(victim.job.team).cpus - victim.job.cpus >= theirs.cpus - EPSILON;
+  }
+
+  #carryOut(job: Job, { machine, victims }: Plan): void {
+    const room = this.#rooms.get(machine.id);
     if (!room) return;
     for (const victim of victims) {
-      stopped.set(victim.key, machine.id);
+      this.#stopped.set(victim.key, machine.id);
       addTo(room, victim.job);
-      const team = useOf(victim.job.team);
-      use.set(victim.job.team, { cpus: team.cpus - victim.job.cpus, gpus: team.gpus - victim.job.gpus });
+      const team = this.#useOf(victim.job.team);
+      this.#use.set(victim.job.team, {
+        cpus: team.cpus - victim.job.cpus,
+        gpus: team.gpus - victim.job.gpus,
+      });
     }
     takeFrom(room, job);
-    const team = useOf(job.team);
-    use.set(job.team, { cpus: team.cpus + job.cpus, gpus: team.gpus + job.gpus });
-  };
-  for (const { waiting, count } of input.unplaced) {
-    const { job } = waiting;
-    // What is owed to one team is not owed to another; else alike jobs find alike victims.
-    const group = `${job.priority} ${job.team}`;
-    if (timeIsUp()) break;
-    if (hopeless.has(group, job)) continue;
-    let left = count;
-    while (left > 0) {
-      // In one pass machines are looked at once, the least loss first, and again only after a task went there.
-      const before = left;
-      const plans: Plan[] = [];
-      for (const m of input.machines) {
-        if (!mayUse(job, m) || waiting.avoid.has(m.id) || !zoneAllows(job, waiting.zones, m.zone)) continue;
-        const found = plan(job, m);
-        if (found) plans.push(found);
-      }
-      plans.sort((a, b) => a.loss - b.loss);
-      for (const first of plans) {
-        // Sums of teams change as tasks are chosen: what was found for this machine before may no longer hold.
-        const holds = first.victims.every((v) => mayStop(job, v));
-        let next = holds ? first : plan(job, first.machine);
-        while (next && left > 0 && next.loss <= first.loss) {
-          carryOut(job, next);
-          left -= 1;
-          next = left > 0 ? plan(job, first.machine) : undefined;
-        }
-        if (left === 0) break;
-      }
-      if (left === before) break;
-    }
-    if (left === count && anywhere(waiting)) hopeless.add(group, job);
+    const team = this.#useOf(job.team);
+    this.#use.set(job.team, { cpus: team.cpus + job.cpus, gpus: team.gpus + job.gpus });
+  }
+
+  #useOf(team: string): TeamUse {
+    return this.#use.get(team) ?? { cpus: 0, gpus: 0 };
   }
-  return { victims: [...stopped].map(([key, machine]) => ({ key, machine })), looks };
 }
