--- a/src/bookkeeping/session.ts
+++ b/src/bookkeeping/session.ts
@@ -1,23 +1,24 @@
+/** @file The node's own lease in the state service. */
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { StateStore } from '../protocol/state';
 import { KEY, read } from './records';
 import type { WatchCache } from './watch-cache';
 
-/** Steady clocks drift by up to 0.05% each: one of ours against another's. */
+/** Largest relative drift of one node's steady clock against another's; each drifts by up to 0.05%. */
 export const DRIFT = 0.001;
-/** How long before the end of its lease a node stops, for what is on its way out. */
+/** How long before the end of its lease a node stops acting, because messages may still be on their way. */
 const STOP_MARGIN_MS = 400;
 const RENEWALS_PER_LEASE = 6;
 
 /**
- * This node's lease in the state service. All that it holds (membership, leadership, blocks) hangs on it. `valid`
- * says whether the node may act: both its last renewal and its view of the records are young enough.
+ * This node's lease in the state service. Everything that the node holds (membership, leadership, blocks) is bound to
+ * it. The node may act while `valid`: both its last renewal and its view of the records are recent enough.
  */
 export class Session {
   #lease: number | undefined;
   #renewedAt = -Infinity;
-  #promisedUntil = -Infinity;
+  #extendedUntil = -Infinity;
 
   constructor(
     private readonly node: string,
@@ -28,6 +29,7 @@
     private readonly log: Log,
   ) {}
 
+  /** The id of the current lease, if there is one. */
   get lease(): number | undefined {
     return this.#lease;
   }
@@ -35,7 +37,7 @@
   /** The steady time up to which this node may act. */
   get validUntil(): number {
     if (this.#lease === undefined) return -Infinity;
-    return Math.max(this.#ownUntil, this.#promisedUntil);
+    return Math.max(this.#ownUntil, this.#extendedUntil);
   }
 
   get #ownUntil(): number {
@@ -45,26 +47,27 @@
     return base + this.ttlMs * (1 - DRIFT) - STOP_MARGIN_MS;
   }
 
-  /** Whether the node may act by the state service's word alone, without the promises of others. */
+  /** Whether the node may act by its lease in the state service alone, without an extension by its peers. */
   get validByOwnLease(): boolean {
     return this.#lease !== undefined && this.clock.now() < this.#ownUntil;
   }
 
-  /** All other nodes have promised not to take what we hold before this time. Only a right still held is prolonged. */
+  /** All peers granted to acquire nothing that this node holds until then. Has no effect once the right to act ended. */
   prolong(until: number): void {
-    if (this.valid) this.#promisedUntil = Math.max(this.#promisedUntil, until);
+    if (this.valid) this.#extendedUntil = Math.max(this.#extendedUntil, until);
   }
 
-  /** Whether the right to act is running out for want of answers from the state service. */
+  /** Whether the right to act is running out because the state service doesn't answer. */
   get waning(): boolean {
     return this.#lease !== undefined && this.validUntil - this.clock.now() < this.ttlMs / 2;
   }
 
+  /** Whether the node may act at this moment. */
   get valid(): boolean {
     return this.clock.now() < this.validUntil;
   }
 
-  /** One step: get a lease, or renew it, or put this node's record right. To be run in a loop. */
+  /** One step: gets a lease, or renews it. To be run in a loop. */
   async step(signal: AbortSignal): Promise<void> {
     if (!this.cache.loaded) {
       await this.clock.sleep(20, signal);
@@ -80,8 +83,8 @@
     const key = KEY.node(this.node);
     const previous = read.node((await this.store.get(key))?.value);
     if (previous) {
-      // This node ran before. Its process is dead, for we are its successor: what it held can go at once, and
-      // nobody has to wait for the end of its lease.
+      // The previous process of this node is dead, for this one replaced it. Its lease is revoked, so that nobody has to
+      // wait for its end.
       await this.store.revoke(previous.lease);
       this.log.info({ lease: previous.lease }, 'ended the lease that this node had before');
     }
@@ -91,7 +94,7 @@
     const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: { lease }, lease }], true);
     if (!result.ok) return;
     this.#renewedAt = sentAt;
-    this.#promisedUntil = -Infinity;
+    this.#extendedUntil = -Infinity;
     this.#lease = lease;
     this.log.info({ lease, ttlMs: this.ttlMs }, 'this node has a lease');
   }
--- a/src/coordination/consolidation.ts
+++ b/src/coordination/consolidation.ts
@@ -1,6 +1,8 @@
+/** @file Chooses nearly empty machines whose tasks can move elsewhere. */
 import { addTo, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 import { fits, mayUse } from './placement';
 
+/** A running task that might move to another machine. */
 export interface MovableTask {
   readonly key: string;
   readonly job: Job;
@@ -10,6 +12,7 @@
   readonly canSave: boolean;
 }
 
+/** A machine with its tasks and the room that is free there. */
 export interface SparseMachine {
   readonly id: string;
   readonly type: MachineType;
@@ -19,25 +22,27 @@
   readonly tasks: readonly MovableTask[];
 }
 
+/** A snapshot of the machines. */
 export interface ConsolidationInput {
   readonly machines: readonly SparseMachine[];
   /** Idle CPUs to keep for work that should start at once. */
   readonly warmCpus: number;
 }
 
-/** Machines that are fuller than this are left alone, unless their tasks fit onto spot machines and they are none. */
+/** Spot machines with a larger share of their CPUs in use are left alone. */
 const SPARSE = 0.5;
-/** What is gained must be at least this long: estimates are no better. */
+/** The least gain, in seconds of machine time: estimates are no more precise. */
 const LEAST_GAIN_S = 15;
-/** What is saved must outweigh what saving, fetching and starting again cost by this much. */
+/** The gain must be this many times the cost of saving, fetching and restarting the tasks. */
 const WORTH = 2;
+/** How many machines may be emptied at once, at least. */
 const MOST_AT_ONCE = 4;
 /** The same on large fleets, as a part of their machines. */
 const MOST_PART = 0.02;
 
 /**
- * Nearly empty machines whose tasks fit into the room of others: the tasks are saved and go on there, and the
- * machines can be returned. Without it a single long task keeps a whole machine paid for.
+ * Chooses nearly empty machines whose tasks fit into free room on others. The tasks are saved and continue there, and the
+ * machines can be returned; otherwise a single long task would keep a whole machine rented.
  */
 export function chooseConsolidation(input: ConsolidationInput): { machine: string; tasks: string[] }[] {
   const used = (m: SparseMachine): number => 1 - m.free.cpus / m.type.cpus;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,3 +1,4 @@
+/** @file Orders waiting jobs and places their tasks on machines. */
 import { PRIORITY_RANK, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
 
 /** A job with work waiting, as a round sees it. */
@@ -13,13 +14,14 @@
   readonly avoid: ReadonlySet<string>;
   /** How long a task of it should run. */
   readonly runS: number;
-  /** It has waited so long that it gets some room out of turn. */
+  /** It has waited so long that it gets some room with a priority boost. */
   readonly aged: boolean;
   /** A task of it has been issued or is done. */
   readonly begun: boolean;
   readonly submittedAt: number;
 }
 
+/** A machine that may take tasks. */
 export interface RoomyMachine {
   readonly id: string;
   readonly type: MachineType;
@@ -31,11 +33,13 @@
   readonly busyForS: number;
 }
 
+/** What a team's running tasks use. */
 export interface TeamUse {
   readonly cpus: number;
   readonly gpus: number;
 }
 
+/** A team's guarantee (`cpus`, `gpus`) and its upper limits, where 0 means none. */
 export interface TeamLimits {
   readonly cpus: number;
   readonly cpus_max: number;
@@ -43,6 +47,7 @@
   readonly gpus_max: number;
 }
 
+/** One task of the job goes to the machine. */
 export interface Placement {
   job: string;
   machine: string;
@@ -51,6 +56,7 @@
 
 const EPSILON = 1e-6;
 
+/** Whether the needs fit into the free room. */
 export function fits(needs: Resources, free: Resources): boolean {
   return (
     needs.cpus <= free.cpus + EPSILON &&
@@ -59,6 +65,7 @@
   );
 }
 
+/** Whether the job's own constraints allow the machine. */
 export function mayUse(job: Job, machine: { type: MachineType; zone: string; spot: boolean }): boolean {
   return (
     (job.spot || !machine.spot) &&
@@ -73,6 +80,7 @@
   return !job.spread || (zones.get(zone) ?? 0) < Math.ceil(job.tasks / 2);
 }
 
+/** Whether one more task of the job stays within its team's upper limits. */
 export function withinLimit(job: Job, use: TeamUse, limits: TeamLimits): boolean {
   return (
     (limits.cpus_max === 0 || use.cpus + job.cpus <= limits.cpus_max + EPSILON) &&
@@ -88,8 +96,8 @@
 }
 
 /**
- * A job's turn in a round. `aged`: out of turn, into the part of the fleet that is kept for what has waited longest.
- * `owed`: it takes only what still fits into its team's guarantee.
+ * A job's turn in a round. `aged`: with a priority boost, into the share of the fleet that is reserved for the jobs that
+ * waited longest. `owed`: the job takes only what still fits into its team's guarantee.
  */
 export interface Turn {
   readonly waiting: WaitingJob;
@@ -97,9 +105,10 @@
 }
 
 /**
- * Turns in the order in which they get room: what has waited too long, the oldest first; then priority, then what
- * guarantees owe, then the least slack. Jobs that are late already come after those that can still be in time, the
- * smallest first: most users are served so. The turns of the aged keep that from starving the largest of them.
+ * Sorts turns into the order in which they get room: aged jobs first, the oldest before the others; then by priority,
+ * then by what guarantees owe, then by the least slack. Jobs that are late already come after those that can still be in
+ * time, the smallest first, because that serves most users. The turns of aged jobs keep the largest late ones from
+ * starving.
  */
 export function order(jobs: readonly WaitingJob[], teams: ReadonlyMap<string, TeamLimits>): Turn[] {
   const turns: Turn[] = [];
@@ -124,34 +133,36 @@
   });
 }
 
-/** How well a task suits a machine that has room for it: an image at hand, then little room left over. */
+/** How well a task suits a machine with room for it: a cached image counts most, then how little room is left over. */
 function score(job: Job, runS: number, m: RoomyMachine, free: Resources): number {
   const cached = m.images.has(job.image) ? 4 : 0;
   const cpuLeft = (free.cpus - job.cpus) / m.type.cpus;
   const memoryLeft = (free.memoryGb - job.memoryGb) / m.type.memoryGb;
-  // Spot machines are cheap: filling them lets the others go.
-  // A machine that stays busy anyway is the better one: the others run empty and can be returned.
+  // Spot machines are cheap, so they are filled first and the others can be returned. A machine that stays busy anyway is
+  // preferred for the same reason: the others become idle.
   const stays = m.busyForS > 0 ? 0.5 + 0.5 * Math.min(1, m.busyForS / runS) : 0;
   return cached + (m.spot ? 1.5 : 0) + stays - cpuLeft - 0.5 * Math.abs(cpuLeft - memoryLeft);
 }
 
+/** A snapshot of the waiting jobs and of the machines, for one round. */
 export interface PlacementInput {
   /** In the order in which they get room. */
   readonly turns: readonly Turn[];
   readonly machines: readonly RoomyMachine[];
   readonly teams: ReadonlyMap<string, TeamLimits>;
   readonly use: ReadonlyMap<string, TeamUse>;
-  /** CPUs that may still be given out of turn. */
+  /** CPUs that may still be given to aged jobs. */
   readonly agedCpus: number;
-  /** Whether any are given out of turn already: a task larger than the share gets its turn all the same, alone. */
+  /** Whether aged jobs have any already. If not, one task larger than the whole share may still go ahead, alone. */
   readonly agedRuns: boolean;
   /** The turn to begin with: where the last round stopped. */
   readonly from: number;
 }
 
+/** What a round placed, and what it didn't. */
 export interface PlacementResult {
   placements: Placement[];
-  /** What found no room, by job. */
+  /** The number of tasks that found no room, by job. */
   unplaced: Map<string, number>;
   /** Where to go on, when the time ran out; undefined when all had their turn. */
   cursor: number | undefined;
@@ -159,15 +170,17 @@
   looks: number;
 }
 
-/** Sizes that found no room in a round. Room only shrinks while a round places, so nothing larger will find any. */
+/** Sizes that found no room in a round. Room only shrinks during a round, so nothing larger will find any either. */
 export class Hopeless {
   readonly #sizes = new Map<string, Resources[]>();
 
+  /** Remembers that a task with these needs found no room. */
   add(group: string, needs: Resources): void {
     const sizes = this.#sizes.get(group) ?? [];
     this.#sizes.set(group, [...sizes.filter((s) => !atLeast(s, needs)), needs]);
   }
 
+  /** Whether a task that needs no more found no room before. */
   has(group: string, needs: Resources): boolean {
     return this.#sizes.get(group)?.some((s) => atLeast(needs, s)) ?? false;
   }
@@ -183,7 +196,7 @@
   return spot && types === null && zone === null && !oneZone && !spread && avoid.size === 0;
 }
 
-/** So many machines are kept clear for aged work that fits nowhere yet. */
+/** How many machines may be reserved at a time for aged jobs that fit nowhere yet. */
 const MAX_RESERVED = 8;
 
 /** Finds room for waiting tasks, until all had their turn or the round's time is up. */
--- a/src/transport/connections.ts
+++ b/src/transport/connections.ts
@@ -1,14 +1,16 @@
+/** @file Incoming connections, shared out among workers, users and health checks. */
 import type { Socket } from 'node:net';
 
 /** Who a connection belongs to; told by the first request that comes over it. */
 export type Use = 'workers' | 'users' | 'health';
 
+/** How many connections may be open, and how long an unused one of a worker is kept. */
 export interface ConnectionLimits {
   /** Connections in all. */
   readonly all: number;
   /** Of these, how many workers may hold. */
   readonly workers: number;
-  /** A worker that was silent for so long is gone, or has left for another node; its connection may never say so. */
+  /** A worker without a request for so long is dead or reports to another node; its connection may never be closed. */
   readonly workerIdleMs: number;
 }
 
@@ -18,13 +20,13 @@
   idleSince: number;
 }
 
-/** Kept free, so that a connection which is one too many can still be told when to come back. */
+/** Connections kept free, so that one beyond the limit can still be answered with the time after which to retry. */
 const SPARE = 8;
 const SWEEP_MS = 5_000;
 
 /**
- * The connections that have come in, and whose they are. Workers keep theirs as long as they report; users', idle
- * between two polls, make room when connections run short, the longest idle first.
+ * Open incoming connections by use. Workers keep theirs as long as they report. When connections run short, users'
+ * connections that are idle between two requests are closed, the longest idle first.
  */
 export class Connections {
   readonly #all = new Map<Socket, Connection>();
@@ -38,14 +40,17 @@
     private readonly now: () => number,
   ) {}
 
+  /** Open connections of all uses. */
   get size(): number {
     return this.#all.size;
   }
 
+  /** Open connections of workers. */
   get workers(): number {
     return this.#workers;
   }
 
+  /** A connection was opened. */
   opened(socket: Socket): void {
     this.#all.set(socket, { use: undefined, requests: 0, idleSince: this.now() });
     socket.once('close', () => {
@@ -55,7 +60,7 @@
     if (this.#isFull) this.#idleUsers.values().next().value?.destroy();
   }
 
-  /** A request has come; false when its connection is one too many for its use. */
+  /** A request arrived; false when its connection exceeds the limit for its use. */
   begins(socket: Socket, use: Use): boolean {
     const connection = this.#all.get(socket);
     if (!connection) return true;
@@ -68,7 +73,7 @@
     return true;
   }
 
-  /** It has been answered. */
+  /** A request on the connection was answered. */
   ends(socket: Socket): void {
     const connection = this.#all.get(socket);
     if (!connection) return;
@@ -94,7 +99,7 @@
     this.#idleUsers.delete(socket);
   }
 
-  /** A machine without power never closes its connection: with a fleet that comes and goes they would add up. */
+  /** Closes unused connections of workers: a machine that lost power never closes its own, and they would add up. */
   #sweep(): void {
     const now = this.now();
     this.#sweptAt = now;
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -1,9 +1,10 @@
+/** @file Framed one-way links between controllers. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '../base/clock';
 import { describe, runLoop } from '../base/loop';
 import type { Log } from '../base/log';
 
-/** Frames are a length of four bytes, then that many bytes. */
+/** Reads frames: a length of four bytes, then that many bytes. Throws when a frame is longer than allowed. */
 export async function* readFrames(
   source: AsyncIterable<Uint8Array>,
   maxBytes: number,
@@ -13,7 +14,7 @@
     held = held.length === 0 ? Buffer.from(chunk) : Buffer.concat([held, chunk]);
     while (held.length >= 4) {
       const length = held.readUInt32BE(0);
-      // Guards against a garbled peer: a length that no frame has would make us collect bytes for ever.
+      // Guards against garbled data: a length that no frame has would make this side buffer without end.
       if (length > maxBytes) throw new Error(`a frame of ${length} bytes`);
       if (held.length < 4 + length) break;
       yield held.subarray(4, 4 + length);
@@ -22,6 +23,7 @@
   }
 }
 
+/** Puts the length before the bytes. */
 export function frame(bytes: Uint8Array): Buffer {
   const out = Buffer.allocUnsafe(4 + bytes.length);
   out.writeUInt32BE(bytes.length, 0);
@@ -29,16 +31,17 @@
   return out;
 }
 
+/** The longest frame that is accepted from a peer. */
 export const MAX_FRAME_BYTES = 256 * 1024;
 const MAX_QUEUED_BYTES = 1024 * 1024;
 const SILENT_LINK_MS = 15_000;
 
-/** Takes frames from the other nodes. What one of them garbles ends its connection only. */
+/** Accepts frames from the other nodes. A peer that sends garbled data loses only its own connection. */
 export function listenForPeers(address: string, onFrame: (bytes: Buffer) => void, log: Log): Server {
   const server = createServer((socket) => {
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
-    // Peers speak every second. One that died without a word would leave its end of the link open for ever.
+    // Peers send every second. Without a timeout, the link of one that lost power would stay open for ever.
     socket.setTimeout(SILENT_LINK_MS, () => socket.destroy());
     void (async () => {
       try {
@@ -58,7 +61,7 @@
   return server;
 }
 
-/** Sends frames to one other node. Best effort: what can't leave now is dropped, and the watch makes up for it. */
+/** Sends frames to one other node. Best effort: what can't be sent now is dropped; the watch delivers it later. */
 export class PeerSender {
   #socket: Socket | undefined;
 
@@ -67,10 +70,12 @@
     private readonly deps: { clock: Clock; log: Log; signal: AbortSignal },
   ) {}
 
+  /** Keeps a connection open until the signal. */
   async run(): Promise<void> {
     await runLoop(`peer ${this.address}`, () => this.#once(), this.deps);
   }
 
+  /** Sends the bytes as a frame, if there is a connection with room in its queue. */
   send(bytes: Uint8Array): void {
     const socket = this.#socket;
     if (socket && socket.writableLength < MAX_QUEUED_BYTES) socket.write(frame(bytes));
--- a/src/transport/rate-limit.ts
+++ b/src/transport/rate-limit.ts
@@ -1,6 +1,7 @@
+/** @file A limit on the rate of requests. */
 import type { Clock } from '../base/clock';
 
-/** The wait for one's turn would be longer than one is ready to wait. */
+/** The wait for a token would be longer than the caller's patience. */
 export class Busy extends Error {
   override name = 'Busy';
 }
@@ -28,6 +29,7 @@
     this.#filledAt = now;
   }
 
+  /** Takes tokens without waiting. */
   takeNow(count = 1): void {
     this.#fill();
     this.#tokens -= count;
