--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,8 +1,8 @@
 import { changesAtOnce } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
-import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../bookkeeping/completion-records';
 import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
+import { RecordSweep } from './record-sweep';
 import type { CloudView } from './cloud-view';
 import type { NodeContext } from './node-context';
 
@@ -15,12 +15,16 @@
  * jobs that are over. It does no more.
  */
 export class Leader {
+  readonly #recordSweep: RecordSweep;
+
   constructor(
     private readonly deps: NodeContext,
     private readonly cloud: CloudView,
     /** Whether this process began so lately that it may still be bound by a promise. */
     private readonly isYoung: () => boolean,
-  ) {}
+  ) {
+    this.#recordSweep = new RecordSweep(deps.cache, deps.clock);
+  }
 
   get isLeader(): boolean {
     const { cache, node, session } = this.deps;
@@ -183,7 +187,7 @@
   async #sweep(): Promise<void> {
     const { store, settings } = this.deps;
     const most = changesAtOnce(settings.platform.deployment.state, SWEPT_AT_ONCE);
-    const orphans = this.#orphans().slice(0, most);
+    const orphans = this.#recordSweep.orphans().slice(0, most);
     if (orphans.length === 0) return;
     await store.txn(
       orphans.flatMap(({ key, version, job }) => [
@@ -193,12 +197,4 @@
       orphans.map(({ key }) => ({ delete: key })),
     );
   }
-
-  /** Completion records of jobs that are over, as far as this node's copy of the records tells. */
-  #orphans(): { key: string; version: number; job: string }[] {
-    const { cache } = this.deps;
-    return COMPLETION_PREFIXES.flatMap((prefix) => [...cache.under(prefix)])
-      .map(({ key, version }) => ({ key, version, job: KEY.job(jobOfCompletionKey(key)) }))
-      .filter(({ job }) => cache.get(job) === undefined);
-  }
 }
--- /dev/null
+++ b/test/record-sweep.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RecordSweep } from '../src/coordination/record-sweep';
+import { submission } from './fakes/submission';
+import { Service } from './limited-service';
+import { World } from './fakes/world';
+
+const MANY = 1_500;
+const ids = Array.from({ length: MANY }, (_, number) => `req-${number + 1_000_000_000}`);
+
+test('parts of a list of dependencies are orphans only after their submission can no longer be repeated', async () => {
+  const service = new Service();
+  await service.load();
+  const value = { dependencies: ['req-2'] };
+  const written = service.store.txn([], [{ put: 'live/dependencies/req-1/0', value }]);
+  await service.clock.advance(2_000);
+  await written;
+  const sweep = new RecordSweep(service.cache, service.clock);
+  assert.deepEqual(sweep.orphans(), []);
+  await service.clock.advance(119_000);
+  assert.deepEqual(sweep.orphans(), []);
+  await service.clock.advance(2_000);
+  const [orphan] = sweep.orphans();
+  assert.equal(orphan?.key, 'live/dependencies/req-1/0');
+  assert.equal(orphan.job, 'live/job/req-1');
+});
+
+test('what a job with very many dependencies leaves behind is deleted after its end', async () => {
+  const world = new World();
+  await world.untilOwned();
+  await world.submit('req-1', {}, 300);
+  // Live jobs that nobody starts: the list is long because none of them is done.
+  for (let from = 0; from < MANY; from += 50) {
+    const batch = ids.slice(from, from + 50);
+    const answers = batch.map((id) =>
+      world.network
+        .caller('user')
+        .call('10.0.0.1:8080', 'POST', '/work', submission(id, { awaits: ['req-1'] }), 5_000)
+        .catch(() => undefined),
+    );
+    await world.clock.advance(1_500);
+    await Promise.all(answers);
+  }
+  for (const id of ids) if (!world.rules.accepted.includes(id)) await world.submit(id, { awaits: ['req-1'] });
+  await world.submit('req-2', { awaits: ids });
+  const parts = (): string[] =>
+    [...world.state.data.keys()].filter((key) => key.startsWith('live/dependencies/'));
+  assert.ok(parts().length > 0);
+  assert.equal(await world.cancel('req-2'), 'withdrawn');
+  await world.until('the parts are deleted', () => parts().length === 0, 180);
+  world.noRuleBroken();
+});
