--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -43,7 +43,6 @@
     'test/decisions.test.ts',
     'test/fakes/rules.ts',
     'test/fakes/world.ts',
-    'test/takeover.test.ts',
     'test/walk.ts',
   ],
   'max-lines-per-function': [
