--- /dev/null
+++ b/test/preemption.test.ts
@@ -0,0 +1,50 @@
+/** @file Which tasks are stopped to make room for others. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { choosePreemptions, stopCost } from '../src/coordination/preemption';
+import type { Priority } from '../src/protocol/model';
+import { job, limits, roomy, waiting } from './decision-inputs';
+
+test('a guarantee never stops work of a higher priority, so that two jobs do not stop each other for ever', () => {
+  const teams = new Map([
+    ['red', limits(4)],
+    ['blue', limits(0)],
+  ]);
+  const running = job('running', 'blue', 'high');
+  const machine = {
+    ...roomy('m', 0),
+    tasks: [0, 1, 2, 3].map((n) => ({ key: `running/${n}`, job: running, lossS: 1, stopping: false })),
+  };
+  const use = new Map([['blue', { cpus: 4, gpus: 0 }]]);
+  const ask = (priority: Priority): string[] =>
+    choosePreemptions({
+      unplaced: [{ waiting: waiting(job('owed', 'red', priority)), count: 1 }],
+      ...{ machines: [machine], teams, use },
+    }).victims.map(({ key }) => key);
+  assert.deepEqual(ask('normal'), []);
+  assert.equal(ask('high').length, 1);
+});
+
+test('a task that saved a moment ago is stopped at once, any other that can save is given time to', () => {
+  const saver = job('saver', 'blue', 'normal', { checkpointS: 20, saveS: 6 });
+  assert.deepEqual(stopCost(saver, 43), { graceS: 0, lossS: 3 });
+  assert.deepEqual(stopCost(saver, 55), { graceS: 6, lossS: 6 });
+  assert.deepEqual(stopCost(job('never', 'blue', 'normal'), 30), { graceS: 0, lossS: 30 });
+});
+
+test('what to preempt on a thousand machines is found in a few passes, not one for every task', () => {
+  const teams = new Map([['blue', limits(0)]]);
+  const lesser = job('lesser', 'blue', 'low');
+  const machines = Array.from({ length: 1000 }, (_, n) => ({
+    ...roomy(`m-${n}`, 0),
+    tasks: [0, 1, 2, 3].map((k) => ({ key: `lesser/${n}-${k}`, job: lesser, lossS: n, stopping: false })),
+  }));
+  const unplaced = [{ waiting: waiting(job('urgent', 'blue', 'high', { tasks: 400 })), count: 400 }];
+  const { victims, looks } = choosePreemptions({ unplaced, machines, teams, use: new Map() });
+  assert.equal(victims.length, 400);
+  assert.ok(
+    victims.every((v) => Number(v.machine.slice(2)) < 100),
+    'the least loss first',
+  );
+  assert.ok(looks < 3000, `${looks} looks`);
+});
