--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,7 +40,6 @@
   'max-lines': [
     'src/coordination/node.ts',
     'src/coordination/scheduler.ts',
-    'test/fakes/rules.ts',
     'test/fakes/world.ts',
     'test/walk.ts',
   ],
--- a/test/dependency-rules.test.ts
+++ b/test/dependency-rules.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Waits } from './fakes/rules';
+import { Waits } from './fakes/waits';
 import { submission } from './fakes/submission';
 import { Watched } from './fakes/watched';
 
--- a/test/fakes/rules.ts
+++ b/test/fakes/rules.ts
@@ -1,23 +1,9 @@
+/** @file The rules of the protocol, checked from outside the controllers. */
 import type { Answer } from '../../src/transport/http-client';
 import type { WorldClock } from './clock';
 import { DependencyRules } from './dependency-rules';
 import type { Request } from './network';
-
-/** A job as its user described it, in the words of the wire, as far as the rules care. */
-export interface Described {
-  crew: string;
-  pieces: number;
-  cpus: number;
-  cards: number;
-  memGb: number;
-  frames?: string[] | null;
-  yard?: string | null;
-  together: boolean;
-  apart: boolean;
-  loaners: boolean;
-  /** Jobs that have to be done before any of its tasks starts. */
-  awaits?: readonly string[] | null;
-}
+import { SubmissionRules, type Described, type TypeFacts } from './submission-rules';
 
 export interface MachineFacts {
   frame: string;
@@ -25,14 +11,6 @@
   loaners: boolean;
 }
 
-export interface TypeFacts {
-  label: string;
-  cpus: number;
-  cards: number;
-  memGb: number;
-  yards: readonly string[];
-}
-
 /** A user's request, for what its answer may say. */
 interface Sent {
   /** Its method and path. */
@@ -71,38 +49,6 @@
   | 'bad_accepted'
   | 'waits';
 
-const FIELDS: Record<string, (value: unknown) => boolean> = {
-  nameId: isJobId,
-  ...Object.fromEntries(['docket', 'crew', 'build'].map((name) => [name, isText])),
-  shape: (v) => v === 'sweep',
-  urgency: (v) => ['prod', 'urgent', 'normal', 'best_effort'].includes(v as string),
-  pieces: (v) => Number.isInteger(v) && (v as number) >= 1 && (v as number) <= 100_000,
-  ...Object.fromEntries(['cpus', 'cards', 'memGb', 'sizeGb', 'reckonS'].map((name) => [name, isAmount])),
-  ...Object.fromEntries(['bookmarkS', 'stashS'].map((name) => [name, isAmount])),
-  ...Object.fromEntries(['together', 'apart', 'loaners'].map((name) => [name, isFlag])),
-  frames: (v) => v === null || v === undefined || (Array.isArray(v) && v.every(isText)),
-  yard: (v) => v === null || v === undefined || isText(v),
-  dueS: (v) => v === null || v === undefined || isAmount(v),
-};
-
-const isListOfIds = (value: unknown): boolean => Array.isArray(value) && value.every(isJobId);
-
-function isJobId(value: unknown): boolean {
-  return typeof value === 'string' && /^req-[0-9]+$/.test(value);
-}
-
-function isText(value: unknown): boolean {
-  return typeof value === 'string' && value.length > 0;
-}
-
-function isAmount(value: unknown): boolean {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
-
-function isFlag(value: unknown): boolean {
-  return typeof value === 'boolean';
-}
-
 const jobOf = (piece: string): string => piece.split('/')[0] ?? '';
 
 /**
@@ -116,6 +62,7 @@
   readonly startsAfterCancellation: string[] = [];
   readonly #jobs = new Map<string, Record_>();
   readonly #dependencies = new DependencyRules(this.#jobs);
+  readonly #submissions: SubmissionRules;
   readonly #on = new Map<string, string>();
   #order = 0;
 
@@ -128,7 +75,9 @@
       types: readonly TypeFacts[];
       machine(id: string): MachineFacts | undefined;
     },
-  ) {}
+  ) {
+    this.#submissions = new SubmissionRules(deployment, (id) => this.described(id) !== undefined);
+  }
 
   /** Where a task is at this moment. */
   where(piece: string): string | undefined {
@@ -287,7 +236,7 @@
     if (submits && why === undefined) this.#describe(id, request.body as Described);
     if (verb === 'withdraw') job.cancelAsked = true;
     // A job that was accepted is known, whatever the dependencies in a repetition of its submission.
-    if (submits) sent.mayBeRefused = this.#whyNotBesidesDependencies(request.body) !== undefined;
+    if (submits) sent.mayBeRefused = this.#submissions.whyNotBesidesDependencies(request.body) !== undefined;
     const namesKnown = submits && why === undefined && this.#namesOnlyAccepted(request.body as Described);
     return (answer) => {
       this.#order += 1;
@@ -388,17 +337,7 @@
 
   /** Why a submission may not be accepted. */
   whyNot(body: unknown): string | undefined {
-    return this.#whyNotBesidesDependencies(body) ?? this.#whyNotDependencies(body as Record<string, unknown>);
-  }
-
-  #whyNotDependencies({ nameId, awaits }: Record<string, unknown>): string | undefined {
-    if (awaits === undefined || awaits === null) return undefined;
-    if (!isListOfIds(awaits)) return 'awaits is invalid';
-    const ids = awaits as string[];
-    if (ids.includes(nameId as string)) return 'it names itself';
-    // One that was submitted may have been accepted, whether or not its user was told so.
-    const unknown = ids.find((id) => this.described(id) === undefined);
-    return unknown === undefined ? undefined : `${unknown} was never submitted`;
+    return this.#submissions.whyNot(body);
   }
 
   /** Whether a submission names jobs, and users were told of each that it is accepted. */
@@ -407,25 +346,6 @@
     return awaits.every((id) => this.#jobs.get(id)?.accepted !== undefined);
   }
 
-  #whyNotBesidesDependencies(body: unknown): string | undefined {
-    if (typeof body !== 'object' || body === null) return 'no map';
-    const map = body as Record<string, unknown>;
-    const wrong = Object.keys(FIELDS).find((name) => FIELDS[name]?.(map[name]) !== true);
-    if (wrong !== undefined) return `${wrong} is missing or invalid`;
-    const job = body as Described;
-    if (!this.deployment.limits.has(job.crew)) return 'unknown team';
-    if (job.cpus > this.limit(job.crew)) return "a task needs more than the team's limit";
-    const fits = this.deployment.types.some(
-      (type) =>
-        (job.frames?.includes(type.label) ?? true) &&
-        (!job.yard || type.yards.includes(job.yard)) &&
-        job.cpus <= type.cpus &&
-        job.cards <= type.cards &&
-        job.memGb <= type.memGb,
-    );
-    return fits ? undefined : 'a task fits no allowed machine type';
-  }
-
   #job(id: string): Record_ {
     const known = this.#jobs.get(id);
     if (known) return known;
@@ -438,43 +358,3 @@
     return job;
   }
 }
-
-/** How long each unfinished job has waited while something could have been done for it. */
-export class Waits {
-  readonly #since = new Map<string, number>();
-
-  constructor(
-    private readonly rules: Rules,
-    private readonly clock: WorldClock,
-    /** Machines with room for this job's next task, and whether this task is on its way on one of them. */
-    private readonly ground: { hasRoom(id: string): boolean; isOnItsWay(piece: string): boolean },
-  ) {}
-
-  /** To be called about once a second while there is no trouble. */
-  check(): void {
-    const now = this.clock.now();
-    const unfinished = new Set(this.rules.unfinished);
-    for (const id of [...this.#since.keys()]) if (!unfinished.has(id)) this.#since.delete(id);
-    for (const id of unfinished) {
-      const job = this.rules.described(id);
-      if (!job) continue;
-      const waits = Array.from({ length: job.pieces }, (_, task) => `${id}/${task}`).some(
-        (piece) =>
-          !this.rules.hasCompleted(piece) &&
-          this.rules.where(piece) === undefined &&
-          !this.ground.isOnItsWay(piece),
-      );
-      const fits = this.rules.used(job.crew) + job.cpus <= this.rules.limit(job.crew) + 1e-9;
-      const isReady = this.rules.isReady(id);
-      if (!isReady || !waits || !fits || !this.ground.hasRoom(id)) this.#since.delete(id);
-      else if (!this.#since.has(id)) this.#since.set(id, now);
-      const since = this.#since.get(id);
-      if (since !== undefined && now - since > WAIT_MS) {
-        this.rules.break('waits', `${id} waits for ${now - since} ms though there is room`);
-        this.#since.set(id, Infinity);
-      }
-    }
-  }
-}
-
-const WAIT_MS = 90_000;
--- /dev/null
+++ b/test/fakes/submission-rules.ts
@@ -0,0 +1,107 @@
+/** @file Which submissions controllers may accept, as the protocol says it. */
+
+/** A job as its user described it, in the words of the wire, as far as the rules care. */
+export interface Described {
+  crew: string;
+  pieces: number;
+  cpus: number;
+  cards: number;
+  memGb: number;
+  frames?: string[] | null;
+  yard?: string | null;
+  together: boolean;
+  apart: boolean;
+  loaners: boolean;
+  /** Jobs that have to be done before any of its tasks starts. */
+  awaits?: readonly string[] | null;
+}
+
+/** A machine type that the cloud offers. */
+export interface TypeFacts {
+  label: string;
+  cpus: number;
+  cards: number;
+  memGb: number;
+  yards: readonly string[];
+}
+
+const FIELDS: Record<string, (value: unknown) => boolean> = {
+  nameId: isJobId,
+  ...Object.fromEntries(['docket', 'crew', 'build'].map((name) => [name, isText])),
+  shape: (v) => v === 'sweep',
+  urgency: (v) => ['prod', 'urgent', 'normal', 'best_effort'].includes(v as string),
+  pieces: (v) => Number.isInteger(v) && (v as number) >= 1 && (v as number) <= 100_000,
+  ...Object.fromEntries(['cpus', 'cards', 'memGb', 'sizeGb', 'reckonS'].map((name) => [name, isAmount])),
+  ...Object.fromEntries(['bookmarkS', 'stashS'].map((name) => [name, isAmount])),
+  ...Object.fromEntries(['together', 'apart', 'loaners'].map((name) => [name, isFlag])),
+  frames: (v) => v === null || v === undefined || (Array.isArray(v) && v.every(isText)),
+  yard: (v) => v === null || v === undefined || isText(v),
+  dueS: (v) => v === null || v === undefined || isAmount(v),
+};
+
+const isListOfIds = (value: unknown): boolean => Array.isArray(value) && value.every(isJobId);
+
+function isJobId(value: unknown): boolean {
+  return typeof value === 'string' && /^req-[0-9]+$/.test(value);
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === 'string' && value.length > 0;
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function isFlag(value: unknown): boolean {
+  return typeof value === 'boolean';
+}
+
+/** Judges submissions by the settings of the deployment and by the submissions before them. */
+export class SubmissionRules {
+  constructor(
+    private readonly deployment: {
+      /** CPUs that a team's tasks may use at once; a team without a limit has Infinity. */
+      limits: ReadonlyMap<string, number>;
+      types: readonly TypeFacts[];
+    },
+    /** Whether a user has sent a submission of this job that can run. */
+    private readonly wasSubmitted: (id: string) => boolean,
+  ) {}
+
+  /** Why a submission may not be accepted. */
+  whyNot(body: unknown): string | undefined {
+    return this.whyNotBesidesDependencies(body) ?? this.#whyNotDependencies(body as Record<string, unknown>);
+  }
+
+  /** The same, whatever jobs the submission names as its dependencies. */
+  whyNotBesidesDependencies(body: unknown): string | undefined {
+    if (typeof body !== 'object' || body === null) return 'no map';
+    const map = body as Record<string, unknown>;
+    const wrong = Object.keys(FIELDS).find((name) => FIELDS[name]?.(map[name]) !== true);
+    if (wrong !== undefined) return `${wrong} is missing or invalid`;
+    const job = body as Described;
+    if (!this.deployment.limits.has(job.crew)) return 'unknown team';
+    if (job.cpus > (this.deployment.limits.get(job.crew) ?? Infinity))
+      return "a task needs more than the team's limit";
+    const fits = this.deployment.types.some(
+      (type) =>
+        (job.frames?.includes(type.label) ?? true) &&
+        (!job.yard || type.yards.includes(job.yard)) &&
+        job.cpus <= type.cpus &&
+        job.cards <= type.cards &&
+        job.memGb <= type.memGb,
+    );
+    return fits ? undefined : 'a task fits no allowed machine type';
+  }
+
+  #whyNotDependencies({ nameId, awaits }: Record<string, unknown>): string | undefined {
+    if (awaits === undefined || awaits === null) return undefined;
+    if (!isListOfIds(awaits)) return 'awaits is invalid';
+    const ids = awaits as string[];
+    if (ids.includes(nameId as string)) return 'it names itself';
+    // One that was submitted may have been accepted, whether or not its user was told so.
+    const unknown = ids.find((id) => !this.wasSubmitted(id));
+    return unknown === undefined ? undefined : `${unknown} was never submitted`;
+  }
+}
--- /dev/null
+++ b/test/fakes/waits.ts
@@ -0,0 +1,44 @@
+/** @file Finds jobs that wait though they could run. */
+import type { WorldClock } from './clock';
+import type { Rules } from './rules';
+
+/** How long a job may wait while there is room for it. */
+const WAIT_MS = 90_000;
+
+/** How long each unfinished job has waited while something could have been done for it. */
+export class Waits {
+  readonly #since = new Map<string, number>();
+
+  constructor(
+    private readonly rules: Rules,
+    private readonly clock: WorldClock,
+    /** Machines with room for this job's next task, and whether this task is on its way on one of them. */
+    private readonly ground: { hasRoom(id: string): boolean; isOnItsWay(piece: string): boolean },
+  ) {}
+
+  /** To be called about once a second while there is no trouble. */
+  check(): void {
+    const now = this.clock.now();
+    const unfinished = new Set(this.rules.unfinished);
+    for (const id of [...this.#since.keys()]) if (!unfinished.has(id)) this.#since.delete(id);
+    for (const id of unfinished) {
+      const job = this.rules.described(id);
+      if (!job) continue;
+      const waits = Array.from({ length: job.pieces }, (_, task) => `${id}/${task}`).some(
+        (piece) =>
+          !this.rules.hasCompleted(piece) &&
+          this.rules.where(piece) === undefined &&
+          !this.ground.isOnItsWay(piece),
+      );
+      const fits = this.rules.used(job.crew) + job.cpus <= this.rules.limit(job.crew) + 1e-9;
+      const isReady = this.rules.isReady(id);
+      if (!isReady || !waits || !fits || !this.ground.hasRoom(id)) this.#since.delete(id);
+      else if (!this.#since.has(id)) this.#since.set(id, now);
+      const since = this.#since.get(id);
+      if (since !== undefined && now - since > WAIT_MS) {
+        this.rules.break('waits', `${id} waits for ${now - since} ms though there is room`);
+        this.#since.set(id, Infinity);
+      }
+    }
+  }
+}
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -5,10 +5,11 @@
 import type { Answer, HttpCaller } from '../../src/transport/http-client';
 import { FakeClock, Process } from './clock';
 import { FakeNetwork, type Request } from './network';
-import { Rules, Waits, type MachineFacts } from './rules';
+import { Rules, type MachineFacts } from './rules';
 import { FakeStateService } from './state-service';
 import { submission } from './submission';
 import { createController, type Version } from './versions';
+import { Waits } from './waits';
 import { FakeWorker, type JobFacts } from './worker';
 
 const STATE = '10.2.0.1:2379';
