--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,11 +40,7 @@
   'max-lines': [
     'src/coordination/node.ts',
     'src/coordination/scheduler.ts',
-    'test/answers.test.ts',
-    'test/decisions.test.ts',
-    'test/fakes/rules.ts',
     'test/fakes/world.ts',
-    'test/takeover.test.ts',
     'test/walk.ts',
   ],
   'max-lines-per-function': [
