--- a/test/limited-service.ts
+++ b/test/limited-service.ts
@@ -19,6 +19,24 @@
   debug: () => undefined,
 };
 
+/** Settings of a platform that announces limits. */
+export function platform(next?: unknown): unknown {
+  return {
+    node: 'node-0',
+    area: 'a',
+    bind: '10.0.0.1:8080',
+    back: '10.0.0.1:8081',
+    external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
+    deployment: {
+      teams: [{ name: 'blue' }],
+      workers: { report_s: 0.8, lease_s: 10, cancel_s: 30 },
+      state: { ...NOW, next },
+      cloud: { rps: 5, list_lag_s: 2 },
+      quota: {},
+    },
+  };
+}
+
 /** A state service with one node's store and copy of its records. */
 export class Service {
   readonly clock = new FakeClock();
--- a/test/state-limits-fall.test.ts
+++ b/test/state-limits-fall.test.ts
@@ -11,30 +11,11 @@
 import type { Job } from '../src/protocol/model';
 import { type Guard } from '../src/protocol/state';
 import { submission } from './fakes/submission';
-import { FALLEN, FALLEN_SERVICE, NOW, NOW_SERVICE, quiet, Service } from './limited-service';
+import { FALLEN, FALLEN_SERVICE, NOW, NOW_SERVICE, platform, quiet, Service } from './limited-service';
 import { World } from './fakes/world';
 
 const TASKS = 100_000;
 
-function platform(next?: unknown): unknown {
-  return {
-    node: 'node-0',
-    area: 'a',
-    bind: '10.0.0.1:8080',
-    back: '10.0.0.1:8081',
-    external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
-    deployment: {
-      teams: [{ name: 'blue' }],
-      workers: { report_s: 0.8, lease_s: 10, cancel_s: 30 },
-      state: { ...NOW, next },
-      cloud: { rps: 5, list_lag_s: 2 },
-      quota: {},
-    },
-  };
-}
-
-// Settings.
-
 const JOB = { id: 'req-1', tasks: TASKS, team: 'blue', deadlineS: null } as Job;
 
 /** An owner of the block, reduced to its tables and its recorder. */
--- a/test/state-limits.test.ts
+++ b/test/state-limits.test.ts
@@ -12,27 +12,10 @@
 } from '../src/bookkeeping/completion-records';
 import { readTypes, storeTypes, typeBatches } from '../src/bookkeeping/type-records';
 import type { MachineType } from '../src/protocol/model';
-import { FALLEN, FALLEN_SERVICE, NOW, Service } from './limited-service';
+import { FALLEN, FALLEN_SERVICE, NOW, platform, Service } from './limited-service';
 
 const TASKS = 100_000;
 
-function platform(next?: unknown): unknown {
-  return {
-    node: 'node-0',
-    area: 'a',
-    bind: '10.0.0.1:8080',
-    back: '10.0.0.1:8081',
-    external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
-    deployment: {
-      teams: [{ name: 'blue' }],
-      workers: { report_s: 0.8, lease_s: 10, cancel_s: 30 },
-      state: { ...NOW, next },
-      cloud: { rps: 5, list_lag_s: 2 },
-      quota: {},
-    },
-  };
-}
-
 // Settings.
 
 test('without announced limits those of now are in force', () => {
