--- a/test/state-limits-fall.test.ts
+++ b/test/state-limits-fall.test.ts
@@ -11,7 +11,7 @@
 import type { Job } from '../src/protocol/model';
 import { type Guard } from '../src/protocol/state';
 import { submission } from './fakes/submission';
-import { FALLEN, FALLEN_SERVICE, NOW, NOW_SERVICE, platform, quiet, Service } from './limited-service';
+import { FALLEN, FALLEN_SERVICE, NOW_SERVICE, platform, quiet, Service } from './limited-service';
 import { World } from './fakes/world';
 
 const TASKS = 100_000;
