--- /dev/null
+++ b/test/dependency-rules.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Waits } from './fakes/rules';
+import { submission } from './fakes/submission';
+import { Watched } from './fakes/watched';
+
+const CANCEL_MS = 30_000;
+
+/** Three jobs, each of which needs the one before. */
+function pipeline(): Watched {
+  const watched = new Watched();
+  watched.submit({}, 'req-1');
+  watched.submit({ awaits: ['req-1'] }, 'req-2');
+  watched.submit({ awaits: ['req-2'] }, 'req-3');
+  return watched;
+}
+
+function asks(watched: Watched, id: string): (status: number, standing?: string) => void {
+  return watched.asks('GET', `/work/${id}`);
+}
+
+function cancels(watched: Watched, id: string, standing = 'withdrawn'): void {
+  watched.asks('POST', `/work/${id}/withdraw`)(200, standing);
+}
+
+function runs(watched: Watched, piece: string, machine = 'm1'): void {
+  watched.rules.started(piece, machine);
+  watched.rules.left(piece, machine);
+  watched.rules.completed(piece);
+}
+
+test('the rules see a start before all tasks of all dependencies completed', () => {
+  const early = pipeline();
+  early.rules.started('req-1/0', 'm1');
+  early.rules.started('req-2/0', 'm1');
+  early.found('too_early');
+
+  const right = pipeline();
+  for (const id of ['req-1', 'req-2', 'req-3']) runs(right, `${id}/0`);
+  right.found();
+
+  const halfDone = new Watched();
+  halfDone.submit({ pieces: 2 }, 'req-1');
+  halfDone.submit({}, 'req-2');
+  halfDone.submit({ awaits: ['req-2', 'req-1', 'req-2'] }, 'req-3');
+  runs(halfDone, 'req-1/0');
+  runs(halfDone, 'req-2/0');
+  halfDone.rules.started('req-3/0', 'm1');
+  halfDone.found('too_early');
+});
+
+test('the rules see a job that is called running while it waits', () => {
+  const watched = pipeline();
+  asks(watched, 'req-2')(200, 'pending');
+  watched.found();
+  asks(watched, 'req-2')(200, 'running');
+  watched.found('too_early');
+});
+
+test('the rules see a start after a dependency was cancelled, even if all its tasks completed', () => {
+  const after = pipeline();
+  runs(after, 'req-1/0');
+  cancels(after, 'req-1');
+  after.rules.started('req-2/0', 'm1');
+  after.found('too_early');
+
+  const before = pipeline();
+  runs(before, 'req-1/0');
+  before.rules.started('req-2/0', 'm1');
+  before.found();
+  cancels(before, 'req-1');
+  before.found('too_early');
+});
+
+test('the rules see a task of a dependent that stays or starts after the bound on cancellations', async () => {
+  const watched = pipeline();
+  runs(watched, 'req-1/0');
+  watched.rules.started('req-2/0', 'm1');
+  cancels(watched, 'req-1');
+  await watched.clock.advance(CANCEL_MS + 1);
+  watched.found('too_early', 'ran_cancelled');
+  watched.rules.started('req-3/0', 'm1');
+  watched.found('too_early', 'ran_cancelled', 'ran_cancelled', 'too_early');
+});
+
+test('the rules see a job that is called pending too long after a job before it was cancelled', async () => {
+  for (const [waitMs, kinds] of [
+    [CANCEL_MS, []],
+    [CANCEL_MS + 1, ['orphaned', 'orphaned']],
+  ] as const) {
+    const watched = pipeline();
+    const sentBefore = asks(watched, 'req-3');
+    cancels(watched, 'req-1');
+    await watched.clock.advance(waitMs);
+    asks(watched, 'req-2')(200, 'pending');
+    watched.asks('POST', '/work', submission('req-3', { awaits: ['req-2'] }))(200, 'pending');
+    sentBefore(200, 'pending');
+    watched.found(...kinds);
+    asks(watched, 'req-3')(200, 'withdrawn');
+    watched.found(...kinds);
+  }
+});
+
+test('the rules see a job called cancelled that neither its user nor that of a job before it cancelled', () => {
+  const followed = pipeline();
+  followed.asks('POST', '/work/req-1/withdraw')(503);
+  asks(followed, 'req-3')(200, 'withdrawn');
+  followed.found();
+
+  const upwards = pipeline();
+  cancels(upwards, 'req-2');
+  asks(upwards, 'req-1')(200, 'withdrawn');
+  upwards.found('went_back');
+
+  const wasDone = pipeline();
+  runs(wasDone, 'req-1/0');
+  cancels(wasDone, 'req-1', 'done');
+  asks(wasDone, 'req-2')(200, 'withdrawn');
+  wasDone.found('went_back');
+
+  const toldLater = pipeline();
+  toldLater.asks('POST', '/work/req-1/withdraw')(503);
+  asks(toldLater, 'req-2')(200, 'withdrawn');
+  toldLater.found();
+  runs(toldLater, 'req-1/0');
+  asks(toldLater, 'req-1')(200, 'done');
+  toldLater.found('went_back');
+});
+
+test('the rules see a submission accepted whose dependencies are no list of jobs that were submitted', () => {
+  for (const [awaits, isGood] of [
+    [undefined, true],
+    [null, true],
+    [[], true],
+    [['req-1'], true],
+    [['req-1', 'req-1'], true],
+    ['req-1', false],
+    [{ 0: 'req-1' }, false],
+    [['req-1', 7], false],
+    [['job-1'], false],
+    [['req-2'], false],
+    [['req-1', 'req-3'], false],
+  ] as const) {
+    const watched = new Watched();
+    watched.submit({}, 'req-1');
+    watched.submit({ awaits }, 'req-2');
+    // Nobody has sent a submission of it that may be accepted.
+    watched.found(...(isGood ? [] : ['bad_accepted', 'invented']));
+  }
+});
+
+test('the rules see an accepted job refused for its dependencies, or for those that it names', () => {
+  for (const awaits of ['nonsense', ['req-99'], ['req-1']]) {
+    const watched = pipeline();
+    watched.asks('POST', '/work', submission('req-1', { awaits }))(422);
+    watched.found('forgotten');
+  }
+  const named = pipeline();
+  named.asks('POST', '/work', submission('req-4', { awaits: ['req-1', 'req-3'] }))(422);
+  named.found('forgotten');
+  const unknown = pipeline();
+  unknown.asks('POST', '/work', submission('req-4', { awaits: ['req-1', 'req-9'] }))(422);
+  unknown.found();
+});
+
+test('a job is unfinished until it or a job before it is cancelled, or until it is done', () => {
+  const watched = pipeline();
+  assert.deepEqual(watched.rules.unfinished, ['req-1', 'req-2', 'req-3']);
+  const cancellation = watched.asks('POST', '/work/req-1/withdraw');
+  assert.deepEqual(watched.rules.unfinished, []);
+  runs(watched, 'req-1/0');
+  cancellation(200, 'done');
+  assert.deepEqual(watched.rules.unfinished, ['req-2', 'req-3']);
+  cancels(watched, 'req-2');
+  assert.deepEqual(watched.rules.unfinished, []);
+});
+
+test('a job waits for room only from when its last dependency was done', async () => {
+  const watched = new Watched();
+  watched.submit({}, 'req-1');
+  watched.submit({ awaits: ['req-1'] }, 'req-2');
+  watched.rules.started('req-1/0', 'm1');
+  const ground = { hasRoom: () => true, isOnItsWay: () => false };
+  const waits = new Waits(watched.rules, watched.clock, ground);
+  const pass = async (seconds: number): Promise<void> => {
+    for (let second = 0; second < seconds; second += 1) {
+      waits.check();
+      await watched.clock.advance(1000);
+    }
+  };
+  await pass(200);
+  watched.rules.left('req-1/0', 'm1');
+  watched.rules.completed('req-1/0');
+  await pass(90);
+  watched.found();
+  await pass(3);
+  watched.found('waits');
+});
--- /dev/null
+++ b/test/fakes/dependency-rules.ts
@@ -0,0 +1,76 @@
+/** What the rules remember of a job, as far as dependencies care. */
+export interface WatchedJob {
+  described: { pieces: number; awaits?: readonly string[] | null } | undefined;
+  completed: ReadonlySet<number>;
+  final: { standing: string } | undefined;
+  cancelAsked: boolean;
+  cancelledAt: number | undefined;
+}
+
+/** What dependencies mean for the rules: which jobs need which, as their users submitted them. */
+export class DependencyRules {
+  readonly #dependents = new Map<string, string[]>();
+
+  constructor(private readonly jobs: ReadonlyMap<string, WatchedJob>) {}
+
+  /** To be called once for each job, when its description is known. */
+  add(id: string): void {
+    for (const dependency of this.dependencies(id)) {
+      const dependents = this.#dependents.get(dependency);
+      if (dependents) dependents.push(id);
+      else this.#dependents.set(dependency, [id]);
+    }
+  }
+
+  dependencies(id: string): readonly string[] {
+    return this.jobs.get(id)?.described?.awaits ?? [];
+  }
+
+  /** Every job that this one needs, directly or through others. */
+  ancestors(id: string): Set<string> {
+    return reachable(id, (of) => this.dependencies(of));
+  }
+
+  /** Every job that needs this one, directly or through others. */
+  descendants(id: string): Set<string> {
+    return reachable(id, (of) => this.#dependents.get(of) ?? []);
+  }
+
+  /** The first job that this one needs directly and that isn't done. */
+  unfinishedDependency(id: string): string | undefined {
+    return this.dependencies(id).find((dependency) => !this.#isDone(dependency));
+  }
+
+  /** Whether some user's request makes it right that the job is cancelled. */
+  mayBeCancelled(id: string): boolean {
+    return [id, ...this.ancestors(id)].some((of) => {
+      const job = this.jobs.get(of);
+      if (!job?.cancelAsked) return false;
+      // A job that was done before its cancellation cancels nothing that needs it.
+      return of === id || job.final?.standing !== 'done';
+    });
+  }
+
+  /** When a user was first told that a job which this one needs is cancelled. */
+  ancestorCancelledAt(id: string): number | undefined {
+    const times = [...this.ancestors(id)].flatMap((of) => this.jobs.get(of)?.cancelledAt ?? []);
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  #isDone(id: string): boolean {
+    const job = this.jobs.get(id);
+    if (!job?.described || job.final?.standing === 'withdrawn') return false;
+    return job.completed.size >= job.described.pieces;
+  }
+}
+
+function reachable(from: string, next: (id: string) => readonly string[]): Set<string> {
+  const found = new Set<string>();
+  const queue = [...next(from)];
+  for (let id = queue.pop(); id !== undefined; id = queue.pop()) {
+    if (found.has(id)) continue;
+    found.add(id);
+    queue.push(...next(id));
+  }
+  return found;
+}
--- /dev/null
+++ b/test/fakes/watched.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { FakeClock } from './clock';
+import { Rules } from './rules';
+import { submission } from './submission';
+
+const MACHINES = new Map([
+  ['m1', { frame: 'm4', yard: 'a', loaners: true }],
+  ['m2', { frame: 'm4', yard: 'a', loaners: true }],
+  ['m3', { frame: 'm4', yard: 'b', loaners: false }],
+]);
+
+/** The rules alone, told by a test what users ask, what they are answered, and what happens on machines. */
+export class Watched {
+  readonly clock = new FakeClock();
+  readonly rules = new Rules(this.clock, {
+    cancelS: 30,
+    limits: new Map([
+      ['red', 2],
+      ['blue', Infinity],
+    ]),
+    types: [{ label: 'm4', cpus: 4, cards: 0, memGb: 16, yards: ['a', 'b'] }],
+    machine: (id) => MACHINES.get(id),
+  });
+
+  /** A user's request; what is returned is to be called with its answer. */
+  asks(method: string, path: string, body?: unknown): (status: number, standing?: string) => void {
+    const told = this.rules.asked({ from: 'user', to: 'node', method, path, body });
+    return (status, standing) => {
+      told({ status, body: standing === undefined ? null : { standing } });
+    };
+  }
+
+  submit(fields: Record<string, unknown> = {}, id = 'req-1'): void {
+    this.asks('POST', '/work', submission(id, fields))(201, 'pending');
+  }
+
+  found(...kinds: string[]): void {
+    assert.deepEqual(
+      this.rules.broken.map((b) => b.split(':')[0]),
+      kinds,
+      this.rules.broken.join(),
+    );
+  }
+}
