--- /dev/null
+++ b/test/dependencies-cancel.test.ts
@@ -0,0 +1,280 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  cancelledWithinBound,
+  everywhere,
+  startsOf,
+  submitAfter,
+  submitChain,
+  submitMany,
+  untilDependenciesAccepted,
+} from './fakes/chains';
+import type { StateFate } from './fakes/state-service';
+import { submission } from './fakes/submission';
+import { CANCEL_S, World } from './fakes/world';
+
+const NODES = [0, 1, 2];
+
+/** A pipeline whose first job runs for long. */
+async function pipeline(length = 5, runS = 300): Promise<{ world: World; ids: string[]; rest: string[] }> {
+  const world = new World();
+  await untilDependenciesAccepted(world);
+  world.runS('req-1', runS);
+  const ids = await submitChain(world, length, {}, runS);
+  await world.until('the first runs', () => world.where('req-1/0') !== undefined);
+  return { world, ids, rest: ids.slice(1) };
+}
+
+/** Asks for every job at every node, again and again for the bound on cancellations and a bit more. */
+async function polledThroughBound(world: World, ids: readonly string[]): Promise<void> {
+  const end = world.clock.now() + CANCEL_S * 1000 + 5_000;
+  while (world.clock.now() < end) {
+    for (const id of ids) {
+      for (const index of NODES) {
+        const address = world.controllers[index]?.address ?? '';
+        world.network
+          .caller('user')
+          .call(address, 'GET', `/work/${id}`, undefined, 2000)
+          .catch(() => undefined);
+      }
+    }
+    await world.clock.advance(5_000);
+  }
+  world.noRuleBroken();
+}
+
+test('cancelling the first job of a pipeline cancels all that need it, at all nodes at once', async () => {
+  const { world, ids, rest } = await pipeline();
+  assert.equal(await world.cancel('req-1', 1), 'withdrawn');
+  await everywhere(world, ids, 'withdrawn');
+  await cancelledWithinBound(world, rest);
+  assert.deepEqual(world.running, []);
+  const left = [...world.state.data.keys()].filter((key) => /^live\/(job|done)\//.test(key));
+  assert.deepEqual(left, []);
+  world.noRuleBroken();
+});
+
+test('cancelling reaches a job through any of its dependencies, and once', async () => {
+  const world = new World();
+  await untilDependenciesAccepted(world);
+  for (const id of ['req-1', 'req-2', 'req-3']) await world.submit(id, {}, 20);
+  await submitAfter(world, ['req-1'], 'req-4');
+  await submitAfter(world, ['req-1', 'req-2'], 'req-5');
+  await submitAfter(world, ['req-4', 'req-5'], 'req-6');
+  await submitAfter(world, ['req-2', 'req-3'], 'req-7');
+  await submitAfter(world, ['req-6', 'req-7'], 'req-8');
+  assert.equal(await world.cancel('req-1'), 'withdrawn');
+  await everywhere(world, ['req-4', 'req-5', 'req-6', 'req-8'], 'withdrawn');
+  for (const id of ['req-2', 'req-3', 'req-7']) await world.untilStanding(id, 'done');
+  await cancelledWithinBound(world, ['req-4', 'req-5', 'req-6', 'req-8']);
+  world.noRuleBroken();
+});
+
+test('cancelling a waiting job in the middle leaves what it needs alone', async () => {
+  const { world, ids } = await pipeline(5, 20);
+  assert.equal(await world.cancel('req-3', 2), 'withdrawn');
+  await everywhere(world, ids.slice(2), 'withdrawn');
+  for (const id of ids.slice(0, 2)) await world.untilStanding(id, 'done');
+  await cancelledWithinBound(world, ids.slice(2));
+  world.noRuleBroken();
+});
+
+test('a cancellation that is answered with done leaves the jobs after it alone', async () => {
+  const { world } = await pipeline(3, 5);
+  await world.untilStanding('req-1', 'done');
+  for (const index of NODES) assert.equal(await world.cancel('req-1', index), 'done');
+  await world.untilStanding('req-3', 'done');
+  world.noRuleBroken();
+});
+
+test('a cancellation races the end of the last task, and the jobs after it follow the winner', async () => {
+  const answers = new Set<string>();
+  for (const delayMs of [4_700, 4_950, 5_000, 5_050, 5_200, 5_600, 6_400]) {
+    const { world, rest } = await pipeline(3, 5);
+    await world.clock.advance(delayMs);
+    const answer = await world.cancel('req-1', 2);
+    answers.add(answer);
+    if (answer === 'done') {
+      await world.untilStanding('req-3', 'done');
+    } else {
+      await cancelledWithinBound(world, rest);
+    }
+    world.noRuleBroken();
+  }
+  assert.equal(answers.size, 2, 'both come about');
+});
+
+test('the same race while the state service is slow, and with an answer that is lost', async () => {
+  for (const fate of [{ slowMs: 900 }, 'lose answer'] as const) {
+    for (const delayMs of [4_300, 4_900, 5_100, 5_500, 6_000]) {
+      const { world, rest } = await pipeline(3, 5);
+      await world.clock.advance(delayMs);
+      const heal = world.state.rule(({ path }) => (path === '/txn' ? fate : undefined));
+      world.clock.after(3_000, heal);
+      const answer = await world.cancel('req-1', 2);
+      if (answer === 'done') await world.untilStanding('req-3', 'done');
+      else await cancelledWithinBound(world, rest);
+      world.noRuleBroken();
+    }
+  }
+});
+
+test('several hundred jobs that need a cancelled one are cancelled in time, while their users poll', async () => {
+  const world = new World();
+  await untilDependenciesAccepted(world);
+  await world.submit('req-1', {}, 300);
+  const dependents = Array.from({ length: 400 }, (_, number) => `req-${number + 1000}`);
+  await submitMany(world, dependents, { awaits: ['req-1'] }, 5);
+  assert.equal(await world.cancel('req-1', 1), 'withdrawn');
+  await polledThroughBound(world, dependents);
+  await everywhere(world, dependents, 'withdrawn');
+  assert.deepEqual(startsOf(world, dependents), []);
+  assert.ok(world.state.largestTxn <= 32);
+  world.noRuleBroken();
+});
+
+test('a chain of 60 jobs is cancelled to its end', async () => {
+  const { world, ids } = await pipeline(60);
+  assert.equal(await world.cancel('req-1', 1), 'withdrawn');
+  await polledThroughBound(world, ids);
+  await cancelledWithinBound(world, ids.slice(1));
+  assert.ok(world.state.largestTxn <= 32);
+  world.noRuleBroken();
+});
+
+const cancels = (path: string, body: unknown): boolean =>
+  path === '/txn' && JSON.stringify(body).includes('cancelled');
+
+for (const fate of [
+  'lose answer',
+  { lateMs: 12_000 },
+  { slowMs: 1_400 },
+  'refuse',
+] as const satisfies StateFate[]) {
+  for (const skip of [0, 1, 2]) {
+    test(`of a cancellation's writes, two meet ${JSON.stringify(fate)} after ${skip} others`, async () => {
+      const { world, ids, rest } = await pipeline(40);
+      let seen = 0;
+      world.state.rule(({ path, body }) => {
+        if (!cancels(path, body)) return undefined;
+        seen += 1;
+        return seen > skip && seen <= skip + 2 ? fate : undefined;
+      });
+      assert.equal(await world.cancel('req-1', 1), 'withdrawn');
+      await polledThroughBound(world, ids);
+      await cancelledWithinBound(world, rest);
+      world.noRuleBroken();
+    });
+  }
+}
+
+for (const writes of [1, 2, 3]) {
+  for (const asksAgain of [true, false]) {
+    const user = asksAgain ? 'asks again' : 'only polls';
+    test(`the controller dies after ${writes} writes of a cancellation, and its user ${user}`, async () => {
+      const { world, ids, rest } = await pipeline(40);
+      let seen = 0;
+      const index = (world.owner + 1) % 3;
+      const watch = world.network.rule(({ from, path, body }) => {
+        if (from !== `node-${index}` || !cancels(path, body)) return undefined;
+        seen += 1;
+        if (seen === writes)
+          world.clock.after(1, () => {
+            if (world.controllers[index]?.alive) world.kill(index);
+          });
+        return seen > writes ? 'lose' : undefined;
+      });
+      await world.ask(index, 'POST', '/work/req-1/withdraw').catch(() => undefined);
+      watch();
+      if (!world.controllers[index]?.alive) world.restart(index);
+      if (asksAgain) assert.equal(await world.cancel('req-1', world.owner), 'withdrawn');
+      else await world.untilStanding('req-1', 'withdrawn', 10, (index + 1) % 3);
+      await polledThroughBound(world, ids);
+      await cancelledWithinBound(world, rest);
+      world.noRuleBroken();
+    });
+  }
+}
+
+test('all controllers die right after a cancellation is confirmed', async () => {
+  const { world, ids, rest } = await pipeline(40);
+  assert.equal(await world.cancel('req-1', 1), 'withdrawn');
+  for (const index of NODES) world.kill(index);
+  await world.clock.advance(3_000);
+  for (const index of NODES) world.restart(index);
+  await polledThroughBound(world, ids);
+  await cancelledWithinBound(world, rest);
+  world.noRuleBroken();
+});
+
+test('a dependent is submitted at the moment at which what it needs is cancelled', async () => {
+  for (const slowMs of [0, 600]) {
+    for (const submitAfterMs of [-30, -8, -3, -1, 0, 1, 2, 3, 5, 8, 30]) {
+      const { world } = await pipeline(2);
+      if (slowMs > 0) world.state.rule(({ path }) => (path === '/txn' ? { slowMs } : undefined));
+      const user = world.network.caller('user');
+      const ask = (index: number, path: string, body?: unknown): void => {
+        const address = world.controllers[index]?.address ?? '';
+        user.call(address, 'POST', path, body, 5000).catch(() => undefined);
+      };
+      const dependents = ['req-8', 'req-9'];
+      const cancelledAfterMs = Math.max(0, -submitAfterMs);
+      world.clock.after(cancelledAfterMs, () => {
+        ask(1, '/work/req-1/withdraw');
+      });
+      world.clock.after(cancelledAfterMs + submitAfterMs, () => {
+        ask(0, '/work', submission('req-8', { awaits: ['req-1'] }));
+        ask(2, '/work', submission('req-9', { awaits: ['req-2'] }));
+      });
+      await world.clock.advance(6_000);
+      assert.equal(await world.cancel('req-1', 0), 'withdrawn');
+      for (const id of dependents) await world.submit(id, { awaits: [id === 'req-8' ? 'req-1' : 'req-2'] });
+      await polledThroughBound(world, dependents);
+      await cancelledWithinBound(world, dependents);
+    }
+  }
+});
+
+test('the gap: a pipeline cancelled at its first job while its owner is refused, then an outage', async () => {
+  for (const length of [3, 40]) {
+    const { world, ids, rest } = await pipeline(length);
+    const { owner } = world;
+    const ownerName = `node-${owner}`;
+    await world.clock.advance(5_000);
+    world.lostPeerMessages.add('nudge');
+    const watches = world.network.rule(({ from, path }) =>
+      path.startsWith('/changes') && from !== ownerName ? 'lose' : undefined,
+    );
+    await world.clock.advance(1_100);
+    world.state.refused.add(ownerName);
+    assert.equal(await world.cancel('req-1', (owner + 1) % 3), 'withdrawn');
+    world.state.outage(true);
+    watches();
+    await world.clock.advance(8_000);
+    // The old owner goes on, for the others extend its lease.
+    assert.equal(world.owner, owner);
+    await polledThroughBound(world, ids);
+    assert.deepEqual(world.running, []);
+    world.state.outage(false);
+    world.state.refused.clear();
+    world.lostPeerMessages.clear();
+    await world.clock.advance(10_000);
+    await cancelledWithinBound(world, rest);
+    world.noRuleBroken();
+  }
+});
+
+test('a dependency is cancelled in the gap while its last task ends: nothing after it starts', async () => {
+  const { world, ids, rest } = await pipeline(4, 20);
+  const { owner } = world;
+  await world.clock.advance(12_000);
+  world.state.refused.add(`node-${owner}`);
+  assert.equal(await world.cancel('req-1', (owner + 1) % 3), 'withdrawn');
+  world.state.outage(true);
+  await polledThroughBound(world, ids);
+  world.state.outage(false);
+  world.state.refused.clear();
+  await world.clock.advance(10_000);
+  await cancelledWithinBound(world, rest);
+  world.noRuleBroken();
+});
