--- a/test/fakes/chains.ts
+++ b/test/fakes/chains.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { submission } from './submission';
-import { CANCEL_S, type World } from './world';
+import { CANCEL_S, World } from './world';
 
 const NODES = [0, 1, 2];
 
@@ -111,3 +111,41 @@
   };
   return early;
 }
+
+/** A pipeline whose first job runs. */
+export async function pipeline(
+  length = 5,
+  runS = 300,
+): Promise<{ world: World; ids: string[]; rest: string[] }> {
+  const world = new World();
+  await untilDependenciesAccepted(world);
+  world.runS('req-1', runS);
+  const ids = await submitChain(world, length, {}, runS);
+  await world.until('the first runs', () => world.where('req-1/0') !== undefined);
+  return { world, ids, rest: ids.slice(1) };
+}
+
+/** Asks for every job at every node, again and again for the bound on cancellations and a bit more. */
+export async function polledThroughBound(world: World, ids: readonly string[]): Promise<void> {
+  const end = world.clock.now() + CANCEL_S * 1000 + 5_000;
+  while (world.clock.now() < end) {
+    for (const id of ids) {
+      for (const index of NODES) {
+        const address = world.controllers[index]?.address ?? '';
+        world.network
+          .caller('user')
+          .call(address, 'GET', `/work/${id}`, undefined, 2000)
+          .catch(() => undefined);
+      }
+    }
+    await world.clock.advance(5_000);
+  }
+  world.noRuleBroken();
+}
+
+/** A deployment whose nodes all accept submissions with dependencies. */
+export async function openWorld(options: ConstructorParameters<typeof World>[0] = {}): Promise<World> {
+  const world = new World(options);
+  await untilDependenciesAccepted(world);
+  return world;
+}
