--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -95,7 +95,8 @@
     .argument('<job>', 'job id')
     .action(async (node: string, job: string) => ask(node, 'GET', `/work/${encodeURIComponent(job)}`));
   program
-    .command('withdraw')
+    .command('cancel')
+    .alias('withdraw')
     .description('cancel a job')
     .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
     .argument('<job>', 'job id')
