--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,9 +1,147 @@
 import js from '@eslint/js';
+import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 
 // Layers, top to bottom. A file may import from its own layer and from those below it only.
 const layers = ['cli', 'coordination', 'bookkeeping', 'protocol', 'transport', 'base'];
 
+// Lines are counted without blank ones and comments.
+const sizeRules = {
+  'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
+  'max-lines-per-function': ['error', { max: 50, skipBlankLines: true, skipComments: true, IIFEs: true }],
+  // Each `??` and `?.` counts as a branch.
+  complexity: ['error', 12],
+  'max-params': ['error', 4],
+};
+
+// A doc comment on each exported item, and an `@file` comment on each module.
+const docRules = {
+  'jsdoc/require-jsdoc': [
+    'error',
+    {
+      publicOnly: true,
+      checkConstructors: false,
+      enableFixer: false,
+      contexts: [
+        'ClassDeclaration',
+        'FunctionDeclaration',
+        'TSEnumDeclaration',
+        'TSInterfaceDeclaration',
+        'TSTypeAliasDeclaration',
+        'VariableDeclaration',
+      ],
+    },
+  ],
+  'jsdoc/require-file-overview': ['error', { tags: { file: { mustExist: true, preventDuplicates: true } } }],
+};
+
+// Files that do not follow a rule yet. This list only shrinks: no file is added, and a file that follows goes.
+const notYet = {
+  'max-lines': [
+    'src/coordination/node.ts',
+    'src/coordination/scheduler.ts',
+    'test/answers.test.ts',
+    'test/decisions.test.ts',
+    'test/fakes/rules.ts',
+    'test/fakes/world.ts',
+    'test/takeover.test.ts',
+    'test/walk.ts',
+  ],
+  'max-lines-per-function': [
+    'src/cli/serve.ts',
+    'src/coordination/machine.ts',
+    'src/coordination/node.ts',
+    'src/coordination/placement.ts',
+    'src/coordination/routes.ts',
+    'src/coordination/scheduler.ts',
+    'src/transport/http-client.ts',
+    'src/transport/http-server.ts',
+  ],
+  complexity: [
+    'src/coordination/attempts.ts',
+    'src/coordination/commander.ts',
+    'src/coordination/leader.ts',
+    'src/coordination/machine.ts',
+    'src/coordination/node.ts',
+    'src/coordination/placement.ts',
+    'src/coordination/scheduler.ts',
+  ],
+  'max-params': [
+    'src/bookkeeping/session.ts',
+    'src/bookkeeping/watch-cache.ts',
+    'src/coordination/block-owner.ts',
+    'src/coordination/block.ts',
+    'src/coordination/commands.ts',
+    'src/coordination/machine.ts',
+    'src/main.ts',
+    'src/protocol/state.ts',
+    'src/transport/http-client.ts',
+  ],
+  'jsdoc/require-jsdoc': [
+    'src/base/clock.ts',
+    'src/base/log.ts',
+    'src/base/loop.ts',
+    'src/base/random.ts',
+    'src/base/settings.ts',
+    'src/bookkeeping/records.ts',
+    'src/cli/program.ts',
+    'src/coordination/commands.ts',
+    'src/coordination/eager.ts',
+    'src/coordination/machine.ts',
+    'src/coordination/node.ts',
+    'src/protocol/cloud.ts',
+    'src/protocol/model.ts',
+    'src/protocol/peers.ts',
+    'src/protocol/state.ts',
+    'src/protocol/users.ts',
+    'src/protocol/workers.ts',
+    'src/transport/http-client.ts',
+    'src/transport/http-server.ts',
+  ],
+  'jsdoc/require-file-overview': [
+    'src/base/clock.ts',
+    'src/base/log.ts',
+    'src/base/loop.ts',
+    'src/base/random.ts',
+    'src/base/settings.ts',
+    'src/base/sockets.ts',
+    'src/bookkeeping/bitmap.ts',
+    'src/bookkeeping/block-count.ts',
+    'src/bookkeeping/ended-jobs.ts',
+    'src/bookkeeping/records.ts',
+    'src/bookkeeping/watch-cache.ts',
+    'src/cli/program.ts',
+    'src/cli/serve.ts',
+    'src/coordination/attempts.ts',
+    'src/coordination/block-owner.ts',
+    'src/coordination/block.ts',
+    'src/coordination/cloud-view.ts',
+    'src/coordination/commander.ts',
+    'src/coordination/commands.ts',
+    'src/coordination/dispatch-table.ts',
+    'src/coordination/eager.ts',
+    'src/coordination/holdings.ts',
+    'src/coordination/leader.ts',
+    'src/coordination/machine.ts',
+    'src/coordination/node.ts',
+    'src/coordination/recorder.ts',
+    'src/coordination/routes.ts',
+    'src/coordination/scheduler.ts',
+    'src/coordination/token.ts',
+    'src/coordination/up-records.ts',
+    'src/main.ts',
+    'src/protocol/cloud.ts',
+    'src/protocol/codec.ts',
+    'src/protocol/model.ts',
+    'src/protocol/peers.ts',
+    'src/protocol/state.ts',
+    'src/protocol/users.ts',
+    'src/protocol/workers.ts',
+    'src/transport/http-client.ts',
+    'src/transport/http-server.ts',
+  ],
+};
+
 export default tseslint.config(
   { ignores: ['target/', 'node_modules/', 'journal/'] },
   js.configs.recommended,
@@ -22,8 +160,15 @@
   },
   {
     files: ['test/**/*.ts'],
-    rules: { '@typescript-eslint/no-floating-promises': 'off' },
+    rules: { '@typescript-eslint/no-floating-promises': 'off', 'max-lines': sizeRules['max-lines'] },
+  },
+  {
+    files: ['src/**/*.ts'],
+    ignores: ['src/**/*.d.ts'],
+    plugins: { jsdoc },
+    rules: { ...sizeRules, ...docRules },
   },
+  ...Object.entries(notYet).map(([rule, files]) => ({ files, rules: { [rule]: 'off' } })),
   ...layers.map((layer, depth) => ({
     files: [`src/${layer}/**/*.ts`],
     rules: {
--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as z from 'zod';
-import { paceFor, type Pace } from './pace';
+import { throttlingFor, type Throttling } from './throttling';
 import { shareSockets, type SocketShares } from './sockets';
 import { limitsInForce, readNextLimits, type StateLimits } from './state-limits';
 
@@ -99,7 +99,7 @@
   cancelDoubtMs: number;
   sockets: SocketShares;
   /** What follows from the share of a core, and the operator's own word where there is one. */
-  pace: Pace;
+  pace: Throttling;
   /** Lower limits of the state service that the platform has announced, when it has announced any. */
   nextStateLimits: Partial<StateLimits> | undefined;
   /** What may not work out, by the name of the setting. */
@@ -110,7 +110,7 @@
 const DEFAULT_BLOCK_LEASE_MS = 5_000;
 /** Left over between the last moment of a cut-off owner's tasks and the bound on cancellations. */
 const CANCEL_MARGIN_MS = 4_000;
-/** A promise of other nodes to an owner (`Vouching`) binds for this long. */
+/** A grant of other nodes to an owner (`LeaseExtension`) binds for this long. */
 export const PROMISE_MS = 2_500;
 const MIN_BLOCK_LEASE_MS = 2_000;
 /** For timers and messages on their way, where a sum of times has to stay under the bound on cancellations. */
@@ -143,67 +143,93 @@
   }
 }
 
-export function makeSettings(
-  platform: unknown,
-  operator: unknown,
-  files = ['settings', 'options'],
-): Settings {
-  const p = check(platformSchema, platform, files[0] ?? '');
-  const o = check(operatorSchema, operator, files[1] ?? '');
-  const { lease_s, cancel_s } = p.deployment.workers;
+/** The block lease in milliseconds: the operator's, or one that follows from the workers' lease. */
+function chooseBlockLease(
+  { lease_s, cancel_s }: PlatformSettings['deployment']['workers'],
+  operator: OperatorSettings,
+  [platformFile, operatorFile]: SettingsFiles,
+): number {
   // A cut-off owner may answer workers until its lease ends, and their tasks live one worker lease longer.
   // A cancellation that it can't hear of must still hold: block lease + worker lease + margin <= cancel_s.
   const longest = Math.min(MAX_BLOCK_LEASE_MS, (cancel_s - lease_s) * 1000 - CANCEL_MARGIN_MS);
   if (longest < MIN_BLOCK_LEASE_MS) {
-    throw new SettingsError(`${files[0]}: deployment.workers.cancel_s: leaves no time for a block lease`);
+    throw new SettingsError(`${platformFile}: deployment.workers.cancel_s: leaves no time for a block lease`);
   }
   // Shorter by default: a takeover should be over while the workers of a dead owner still hold their leases.
   const usual = Math.min(DEFAULT_BLOCK_LEASE_MS, (lease_s * 1000) / 2, longest);
-  const wanted = o.block_lease_s === undefined ? Math.max(usual, MIN_BLOCK_LEASE_MS) : o.block_lease_s * 1000;
+  const wanted =
+    operator.block_lease_s === undefined
+      ? Math.max(usual, MIN_BLOCK_LEASE_MS)
+      : operator.block_lease_s * 1000;
   if (wanted > longest || wanted < MIN_BLOCK_LEASE_MS) {
     throw new SettingsError(
-      `${files[1]}: block_lease_s: must lie between ${MIN_BLOCK_LEASE_MS / 1000} and ${longest / 1000}`,
+      `${operatorFile}: block_lease_s: must lie between ${MIN_BLOCK_LEASE_MS / 1000} and ${longest / 1000}`,
     );
   }
-  const sockets = shareSockets(p.deployment.quota.fd_limit, p.others.length);
+  return Math.floor(wanted);
+}
+
+function chooseSockets({ deployment, others }: PlatformSettings, platformFile: string): SocketShares {
+  const sockets = shareSockets(deployment.quota.fd_limit, others.length);
   if (sockets.inbound < LEAST_INBOUND) {
     throw new SettingsError(
-      `${files[0]}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
+      `${platformFile}: deployment.quota.fd_limit: leaves ${sockets.inbound} connections for workers and users`,
     );
   }
-  const derived = paceFor(p.deployment.quota.cpu, p.others.length + 1);
-  const pace = {
+  return sockets;
+}
+
+function chooseThrottling({ deployment, others }: PlatformSettings, operator: OperatorSettings): Throttling {
+  const derived = throttlingFor(deployment.quota.cpu, others.length + 1);
+  return {
     ...derived,
-    blocks: o.blocks ?? derived.blocks,
-    roundBudgetMs: o.round_budget_ms ?? derived.roundBudgetMs,
+    blocks: operator.blocks ?? derived.blocks,
+    roundBudgetMs: operator.round_budget_ms ?? derived.roundBudgetMs,
   };
-  const { state } = p.deployment;
-  const next = readNextLimits(state.next);
-  const inForce = { ...p.deployment, state: limitsInForce(state, next?.limits) };
-  const { mem_mb } = p.deployment.quota;
-  const warnings: string[] = [];
-  if (mem_mb < LEAST_MEMORY_MB) {
-    warnings.push(
-      `${files[0]}: deployment.quota.mem_mb: ${mem_mb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
+}
+
+function warningsFor(memoryMb: number, unusableLimits: readonly string[], platformFile: string): string[] {
+  const warnings = unusableLimits.map(
+    (limit) => `${platformFile}: deployment.state.next.${limit}: not a positive number; it is ignored`,
+  );
+  if (memoryMb < LEAST_MEMORY_MB) {
+    warnings.unshift(
+      `${platformFile}: deployment.quota.mem_mb: ${memoryMb} MB may not do; ${LEAST_MEMORY_MB} MB do for 600 machines`,
     );
   }
-  for (const name of next?.unusable ?? []) {
-    warnings.push(`${files[0]}: deployment.state.next.${name}: not a positive number; it is ignored`);
-  }
-  const blockLeaseMs = Math.floor(wanted);
+  return warnings;
+}
+
+/** The names of the platform's and the operator's files, for messages. */
+type SettingsFiles = readonly [platform: string, operator?: string];
+
+/** Checks settings that were read, and works out what follows from them. */
+export function makeSettings(
+  platform: unknown,
+  operator: unknown,
+  files: SettingsFiles = ['settings', 'options'],
+): Settings {
+  const [platformFile, operatorFile = 'options'] = files;
+  const checked = check(platformSchema, platform, platformFile);
+  const options = check(operatorSchema, operator, operatorFile);
+  const { workers, state, quota } = checked.deployment;
+  const blockLeaseMs = chooseBlockLease(workers, options, files);
+  const next = readNextLimits(state.next);
   // Within this time an owner has heard of a cancellation, or has stopped. At least 2.5 s are left, by the bound on the
   // block lease.
   const hearingMs = Math.max(blockLeaseMs, PROMISE_MS);
-  const cancelDoubtMs = (cancel_s - lease_s) * 1000 - hearingMs - TURN_MARGIN_MS;
   return {
-    platform: { ...p, deployment: inForce },
-    operator: o,
+    platform: {
+      ...checked,
+      deployment: { ...checked.deployment, state: limitsInForce(state, next?.limits) },
+    },
+    operator: options,
     blockLeaseMs,
-    cancelDoubtMs,
-    sockets,
-    pace,
+    cancelDoubtMs: (workers.cancel_s - workers.lease_s) * 1000 - hearingMs - TURN_MARGIN_MS,
+    sockets: chooseSockets(checked, platformFile),
+    pace: chooseThrottling(checked, options),
     nextStateLimits: next?.limits,
-    warnings,
+    warnings: warningsFor(quota.mem_mb, next?.unusable ?? [], platformFile),
   };
 }
 
--- a/src/base/state-limits.ts
+++ b/src/base/state-limits.ts
@@ -1,3 +1,4 @@
+/** @file The limits of the state service that are to be obeyed. */
 /**
  * Limits of the state service. The platform may announce lower ones that come into force at a moment that nobody is
  * told; a controller therefore obeys the smaller of the two from its start.
--- a/src/bookkeeping/completion-records.ts
+++ b/src/bookkeeping/completion-records.ts
@@ -1,3 +1,4 @@
+/** @file The records that hold a job's completions, in both layouts. */
 import { KEY, PREFIX, read } from './records';
 
 /**
@@ -15,6 +16,7 @@
 /** Room in a value for the text around the bits. */
 const OVERHEAD_BYTES = 64;
 
+/** Which records the completions of a job go to. */
 export type CompletionLayout = { kind: 'chunks' } | { kind: 'parts'; partTasks: number };
 
 /** A job, as far as its completion records depend on it. */
@@ -97,6 +99,7 @@
 /** The prefixes of all completion records. */
 export const COMPLETION_PREFIXES = [PREFIX.done, PREFIX.bits] as const;
 
+/** Whether a key is that of a completion record, of either layout. */
 export function isCompletionKey(key: string): boolean {
   return COMPLETION_PREFIXES.some((prefix) => key.startsWith(prefix));
 }
--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -1,3 +1,4 @@
+/** @file How a job's list of dependencies is stored. */
 import type { Job } from '../protocol/model';
 import type { Guard, StateStore } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
@@ -56,6 +57,7 @@
   readonly guards: Guard[];
 }
 
+/** What the state service takes of one record and of one transaction. */
 export interface RecordLimits {
   readonly valueBytes: number;
   /** Changes that a transaction may have. */
--- a/src/bookkeeping/dependency-tracker.ts
+++ b/src/bookkeeping/dependency-tracker.ts
@@ -1,3 +1,4 @@
+/** @file Keeps the job graph in step with the records. */
 import { Wake, type Clock } from '../base/clock';
 import type { Event } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
--- a/src/bookkeeping/dependent-cancellation.ts
+++ b/src/bookkeeping/dependent-cancellation.ts
@@ -1,3 +1,4 @@
+/** @file Cancels the jobs that need a cancelled one. */
 import { Wake, type Clock } from '../base/clock';
 import type { Event, StateStore } from '../protocol/state';
 import type { DependencyTracker } from './dependency-tracker';
--- a/src/bookkeeping/final-states.ts
+++ b/src/bookkeeping/final-states.ts
@@ -1,3 +1,4 @@
+/** @file Final states of jobs: their records, and a cache of what was read. */
 import type { FinalState, JobStatus } from '../protocol/model';
 import type { Entry, StateStore } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
--- a/src/bookkeeping/format-gate.ts
+++ b/src/bookkeeping/format-gate.ts
@@ -1,3 +1,4 @@
+/** @file When records that the previous version cannot read may be written. */
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { StateStore } from '../protocol/state';
@@ -8,6 +9,18 @@
 const MARK_RETRY_MS = 300;
 const REPORT_MS = 10_000;
 
+/** What the gate works on. */
+export interface FormatGateContext {
+  /** This controller. */
+  readonly node: string;
+  /** All controllers that the settings name, this one included. */
+  readonly controllers: readonly string[];
+  readonly store: StateStore;
+  readonly cache: WatchCache;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
 /**
  * Decides when records that the previous version can't read may be written. Every controller leaves a durable mark of
  * the record format that it understands; the gate is open once the marks of all controllers named in the settings are
@@ -19,32 +32,28 @@
   #isReported = false;
   #reportedAt = -Infinity;
 
-  constructor(
-    private readonly node: string,
-    private readonly controllers: readonly string[],
-    private readonly store: StateStore,
-    private readonly cache: WatchCache,
-    private readonly clock: Clock,
-    private readonly log: Log,
-  ) {}
+  constructor(private readonly context: FormatGateContext) {}
 
   /** One step: writes this controller's mark, and tells the operator how far the upgrade is. To be run in a loop. */
   async step(signal: AbortSignal): Promise<void> {
     if (!this.#isMarked) this.#isMarked = await this.mark();
     this.#report();
-    await this.clock.sleep(this.#isMarked ? CHECK_MS : MARK_RETRY_MS, signal);
+    await this.context.clock.sleep(this.#isMarked ? CHECK_MS : MARK_RETRY_MS, signal);
   }
 
   /** One line when the gate opens, and one every now and then while it is closed. */
   #report(): void {
-    if (this.#isReported || !this.cache.loaded) return;
-    const now = this.clock.now();
+    if (this.#isReported || !this.context.cache.loaded) return;
+    const now = this.context.clock.now();
     if (this.isOpen) {
       this.#isReported = true;
-      this.log.info({ format: RECORD_FORMAT }, 'all controllers understand the record format');
+      this.context.log.info({ format: RECORD_FORMAT }, 'all controllers understand the record format');
     } else if (now - this.#reportedAt >= REPORT_MS) {
       this.#reportedAt = now;
-      this.log.info({ format: RECORD_FORMAT, missing: this.missing() }, 'not all controllers are upgraded');
+      this.context.log.info(
+        { format: RECORD_FORMAT, missing: this.missing() },
+        'not all controllers are upgraded',
+      );
     }
   }
 
@@ -56,14 +65,16 @@
 
   /** Controllers that have not shown that they understand the present format. */
   missing(): string[] {
-    return this.controllers.filter((name) => !understands(this.cache.get(KEY.format(name))?.value));
+    return this.context.controllers.filter(
+      (name) => !understands(this.context.cache.get(KEY.format(name))?.value),
+    );
   }
 
   /** The same by the state service's word: the copy may lag behind a mark that was written a moment ago. */
   async confirmOpen(): Promise<boolean> {
     if (this.isOpen) return true;
     for (const name of this.missing()) {
-      const entry = await this.store.get(KEY.format(name));
+      const entry = await this.context.store.get(KEY.format(name));
       if (!understands(entry?.value)) return false;
     }
     this.#isOpen = true;
@@ -72,11 +83,11 @@
 
   /** Writes this controller's mark, unless it is there. True: it is there now. */
   async mark(): Promise<boolean> {
-    const key = KEY.format(this.node);
-    const entry = await this.store.get(key);
+    const key = KEY.format(this.context.node);
+    const entry = await this.context.store.get(key);
     if (understands(entry?.value)) return true;
     // Guarded, so that a write carried out late can't replace the mark of a newer version.
-    const result = await this.store.txn(
+    const result = await this.context.store.txn(
       [{ key, version: entry?.version ?? 0 }],
       [{ put: key, value: { format: RECORD_FORMAT } }],
       true,
--- a/src/bookkeeping/job-graph.ts
+++ b/src/bookkeeping/job-graph.ts
@@ -1,3 +1,4 @@
+/** @file The dependencies among live jobs. */
 import type { FinalState } from '../protocol/model';
 
 /** What is known of the end of a job that others depend on. */
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -1,3 +1,4 @@
+/** @file Acceptance, questions and cancellation of jobs, against the state service. */
 import type { Clock } from '../base/clock';
 import type { FinalState, Job, JobStatus } from '../protocol/model';
 import type { Entry, Event, StateStore, TxnResult } from '../protocol/state';
@@ -85,7 +86,7 @@
     if (!final) return undefined;
     // The transaction that wrote it deleted the live record, and its writer may have died, or never had an answer. Who
     // tells a user of a cancellation has to know of it when it promises an owner that nothing was cancelled unheard
-    // (`Vouching`): so it is in this node's view before any answer leaves.
+    // (`LeaseExtension`): so it is in this node's view before any answer leaves.
     if (final.status.state === 'cancelled')
       this.context.announce({ key: KEY.job(id), version: final.entry.version, deleted: true });
     return final.status;
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -28,8 +28,11 @@
   done: (id: string, chunk: number) => `live/done/${id}/${chunk}`,
   /** Completions of the tasks from `first` up to `end`, not included. */
   bits: (id: string, first: number, end: number) => `live/bits/${id}/${first}-${end}`,
-  /** A node that does not own the block keeps the leases of workers which reach it and not the owner. */
-  keep: (block: number, node: string) => `live/keep/${block}/${node}`,
+  /**
+   * A node relays the leases of a block's workers which reach it and not the owner. `keep` is an older name of that,
+   * and stays as the stored key.
+   */
+  relay: (block: number, node: string) => `live/keep/${block}/${node}`,
   final: (id: string) => `final/${id}`,
 };
 export const PREFIX = {
@@ -40,7 +43,7 @@
   done: 'live/done/',
   bits: 'live/bits/',
   typesPart: 'live/types-part/',
-  keep: 'live/keep/',
+  relay: 'live/keep/',
 };
 
 const count = z.int().min(0);
--- a/src/bookkeeping/type-records.ts
+++ b/src/bookkeeping/type-records.ts
@@ -1,3 +1,4 @@
+/** @file The record of machine types, whole or in parts. */
 import type { MachineType } from '../protocol/model';
 import type { Change, Guard, StateStore } from '../protocol/state';
 import { KEY, PREFIX, read } from './records';
@@ -35,6 +36,7 @@
 
 type Records = Pick<WatchCache, 'get' | 'under' | 'version'>;
 
+/** Whether a key is that of the types, whole or in parts. */
 export function isTypesKey(key: string): boolean {
   return key === KEY.types || key.startsWith(PREFIX.typesPart);
 }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -54,6 +54,31 @@
   }
 }
 
+/** The commands that ask a controller about a job. */
+function addJobCommands(program: Command): void {
+  program
+    .command('submit')
+    .description('submit a job, described in JSON as the protocol has it')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<file>', 'the description, or - for standard input')
+    .action(async (node: string, file: string) => ask(node, 'POST', '/work', readJson(file)));
+  program
+    .command('status')
+    .description('tell how far a job is')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<job>', 'job id')
+    .action(async (node: string, job: string) => ask(node, 'GET', `/work/${encodeURIComponent(job)}`));
+  program
+    .command('cancel')
+    .alias('withdraw')
+    .description('cancel a job')
+    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
+    .argument('<job>', 'job id')
+    .action(async (node: string, job: string) =>
+      ask(node, 'POST', `/work/${encodeURIComponent(job)}/withdraw`),
+    );
+}
+
 /** `code`: what became of the code kept from the build, for the log. */
 export function createProgram(code = 'none'): Command {
   const program = new Command('ironstream')
@@ -84,26 +109,7 @@
       };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
     });
-  program
-    .command('submit')
-    .description('submit a job, described in JSON as the protocol has it')
-    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
-    .argument('<file>', 'the description, or - for standard input')
-    .action(async (node: string, file: string) => ask(node, 'POST', '/work', readJson(file)));
-  program
-    .command('status')
-    .description('tell how far a job is')
-    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
-    .argument('<job>', 'job id')
-    .action(async (node: string, job: string) => ask(node, 'GET', `/work/${encodeURIComponent(job)}`));
-  program
-    .command('withdraw')
-    .description('cancel a job')
-    .argument('<node>', 'HOST:PORT of a controller', nodeAddress)
-    .argument('<job>', 'job id')
-    .action(async (node: string, job: string) =>
-      ask(node, 'POST', `/work/${encodeURIComponent(job)}/withdraw`),
-    );
+  addJobCommands(program);
   return program;
 }
 
--- a/src/coordination/block.ts
+++ b/src/coordination/block.ts
@@ -1,7 +1,7 @@
 import { COMPLETION_PREFIXES, readCompletions } from '../bookkeeping/completion-records';
 import { KEY, PREFIX, read, type MachineRecord } from '../bookkeeping/records';
 import type { Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { DispatchTable } from './dispatch-table';
 import { Estimates } from './estimates';
 import { Holdings } from './holdings';
@@ -42,7 +42,7 @@
     public token: number,
     public leaseVersion: number,
     readonly takenRevision: number,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
     /** Work for a round. */
     readonly wake: () => void,
   ) {
@@ -242,15 +242,15 @@
   }
 
   get #keepKeys(): string[] {
-    return this.deps.settings.platform.others.map(({ node }) => KEY.keep(this.number, node));
+    return this.deps.settings.platform.others.map(({ node }) => KEY.relay(this.number, node));
   }
 
-  /** Whether any node keeps leases of this block's workers, as far as our view goes. */
+  /** Whether any node relays leases of this block's workers, as far as our view goes. */
   get isKept(): boolean {
     return this.#keepKeys.some((key) => this.deps.cache.get(key) !== undefined);
   }
 
-  /** Whether the state service says that nobody keeps, and our view holds all that was kept before. */
+  /** Whether the state service says that nobody relays, and our view holds all that was relayed before. */
   async nobodyKeeps(): Promise<boolean> {
     const { store, cache, clock } = this.deps;
     const guards = this.#keepKeys.map((key) => ({ key, version: 0 }));
--- a/src/coordination/chain-urgency.ts
+++ b/src/coordination/chain-urgency.ts
@@ -1,3 +1,4 @@
+/** @file Priorities and deadlines that a job takes over from those that need it. */
 import { KEY, read } from '../bookkeeping/records';
 import type { JobGraph } from '../bookkeeping/job-graph';
 import type { WatchCache } from '../bookkeeping/watch-cache';
@@ -34,6 +35,24 @@
   };
 }
 
+function countDown(counts: Map<string, number>, id: string): number {
+  const left = (counts.get(id) ?? 0) - 1;
+  counts.set(id, left);
+  return left;
+}
+
+function describedJobs(
+  graph: JobGraph,
+  describe: (id: string) => ChainJob | undefined,
+): Map<string, ChainJob> {
+  const jobs = new Map<string, ChainJob>();
+  for (const id of new Set([...graph.jobs(), ...graph.dependencies()])) {
+    const job = describe(id);
+    if (job) jobs.set(id, job);
+  }
+  return jobs;
+}
+
 /**
  * Carries priorities and deadlines from each job to those that it needs, last jobs first, and so through chains of any
  * length without recursion. The result holds the live jobs that others need.
@@ -42,14 +61,11 @@
   graph: JobGraph,
   describe: (id: string) => ChainJob | undefined,
 ): Map<string, Urgency> {
+  const jobs = describedJobs(graph, describe);
   const urgencies = new Map<string, Urgency>();
-  const jobs = new Map<string, ChainJob>();
   const openDependents = new Map<string, number>();
   const ready: string[] = [];
-  for (const id of new Set([...graph.jobs(), ...graph.dependencies()])) {
-    const job = describe(id);
-    if (!job) continue;
-    jobs.set(id, job);
+  for (const [id, job] of jobs) {
     urgencies.set(id, { priority: job.priority, latestFinishAt: job.dueAt });
     const dependents = [...graph.dependentsOf(id)].length;
     openDependents.set(id, dependents);
@@ -61,9 +77,7 @@
     for (const dependency of graph.dependenciesOf(id)) {
       const own = urgencies.get(dependency);
       if (urgency && own) urgencies.set(dependency, merge(own, urgency, runMs));
-      const left = (openDependents.get(dependency) ?? 0) - 1;
-      openDependents.set(dependency, left);
-      if (left === 0) ready.push(dependency);
+      if (countDown(openDependents, dependency) === 0) ready.push(dependency);
     }
   }
   for (const id of graph.jobs()) if (!graph.isDependency(id)) urgencies.delete(id);
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet-manager.ts
@@ -1,10 +1,11 @@
+/** @file Rents, records and returns a block's machines. */
 import { Wake } from '../base/clock';
 import { describe } from '../base/loop';
 import { changesAtOnce } from '../base/state-limits';
 import { KEY, type MachineRecord } from '../bookkeeping/records';
 import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
 import type { Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { optionKey, planFleet, type FleetInput, type RentOption, type Rental } from './fleet';
 import type { Machine } from './machine';
 
@@ -21,14 +22,18 @@
 }
 
 const PAUSE_MS = 700;
+/** How long an option that the cloud had no capacity for is not tried again. */
 const REFUSED_MS = 12_000;
 const RENT_TRIES = 6;
 const RETRY_MS = 1_500;
-/** Few enough that a small limit on changes lets other writes go in between. */
+/** Small batches, so that other writes get their share of a small limit on changes. */
 const RECORDS_AT_ONCE = 8;
 const RECORDS_DELETED_AT_ONCE = 20;
 
-/** Rents and returns the block's machines. */
+/**
+ * Rents and returns the block's machines in three independent loops: a cloud that doesn't take machines back can still
+ * rent, and a slow state service doesn't delay renting.
+ */
 export class FleetManager {
   readonly #refusedUntil = new Map<string, number>();
   /** Rented machines that the state service does not know yet. */
@@ -39,16 +44,16 @@
 
   constructor(
     private readonly fleet: Fleet,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#recordWake = new Wake(deps.clock);
   }
 
-  /** One step of returning; to be run in a loop of its own, so that a cloud that won't take back can still rent. */
+  /** One step of returning machines; to be run in a loop of its own. */
   async returnStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
     if (signal.aborted || !this.fleet.entitled) return;
-    // Records come last: without the state service they can't be deleted, while a machine's return may be what ends a
+    // Records are deleted last: that needs the state service, while the return of a machine may be what stops a
     // cancelled task in time.
     await this.#release();
     await this.#deleteRecords();
@@ -57,12 +62,12 @@
   /** One step of renting; to be run in a loop. */
   async rentStep(signal: AbortSignal): Promise<void> {
     await this.deps.clock.sleep(PAUSE_MS, signal);
-    if (signal.aborted || !this.fleet.entitled || !this.deps.lag.mayRent) return;
+    if (signal.aborted || !this.fleet.entitled || !this.deps.eventLoopDelay.allowsRenting) return;
     const now = this.deps.clock.now();
     const input = this.fleet.fleetInput((option) => (this.#refusedUntil.get(optionKey(option)) ?? 0) > now);
     if (!input) return;
     const unrecorded = [...this.#unrecorded].map(([id, { type, zone, spot }]) => {
-      return { ...{ id, type, zone, spot }, ...{ booting: true, ageMs: 0, idleMs: 0 } };
+      return { id, type, zone, spot, booting: true, ageMs: 0, idleMs: 0 };
     });
     const plan = planFleet({ ...input, machines: [...input.machines, ...unrecorded] });
     for (const id of plan.release) {
@@ -81,7 +86,7 @@
     );
     if (leaving.length === 0) return;
     const batch = leaving.slice(0, MAX_RELEASE);
-    // From here on the machine may vanish at any moment, answer or not: it is never used again.
+    // From here on the machine may disappear at any moment, whatever the cloud answers: it is never used again.
     for (const machine of batch) machine.releasing = true;
     await this.deps.cloud.release(batch.map((m) => m.id));
     for (const machine of batch) {
@@ -121,7 +126,7 @@
   }
 
   async #rentOnce(rental: Rental, count: number, signal: AbortSignal): Promise<number> {
-    // The name is random and never used again; a repeat under it can't rent twice.
+    // The request's name is random and used once, so that a retry can't rent twice.
     const request = {
       name: this.deps.random.uniqueName(),
       type: rental.type.name,
@@ -143,7 +148,7 @@
         await this.deps.clock.sleep(RETRY_MS, signal);
       }
     }
-    // Given up: if it was carried out, or is later, its machines turn up in the list and are taken in there.
+    // Given up. If the request is carried out after all, its machines appear in the cloud's list and are adopted.
     return 0;
   }
 
@@ -152,8 +157,8 @@
   }
 
   /**
-   * One step of recording what was rented; to be run in a loop of its own, for a fleet of hundreds takes longer to
-   * write down, inside the limit on changes, than to rent, and what users ask for goes in between.
+   * One step of recording what was rented; to be run in a loop of its own. Within the limit on changes, recording
+   * hundreds of machines takes longer than renting them, and users' requests have to be written in between.
    */
   async recordStep(signal: AbortSignal): Promise<void> {
     await this.#recordWake.wait(1000);
@@ -163,14 +168,19 @@
       const changes = batch.map(([id, { type, zone, spot, rentedAt }]) => ({
         put: KEY.machine(id),
         value: {
-          ...{ block: this.fleet.block, address: '', type: type.name, zone, spot, up: false },
+          block: this.fleet.block,
+          address: '',
+          type: type.name,
+          zone,
+          spot,
+          up: false,
           rentedAt,
         } satisfies MachineRecord,
       }));
       const guards = changes.map((c) => ({ key: c.put, version: 0 }));
       const result = await this.deps.store.txn([this.fleet.leaseGuard(), ...guards], changes);
       for (const [id] of batch) {
-        // One that has a record already was taken in as a stray; the others are tried again.
+        // A machine that has a record already was adopted from the cloud's list; the others are tried again.
         if (result.ok || result.failed.includes(KEY.machine(id))) this.#unrecorded.delete(id);
       }
       if (!result.ok) {
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,5 +1,5 @@
 import { Wake, type Clock } from '../base/clock';
-import { Lag } from '../base/lag';
+import { EventLoopDelay } from '../base/event-loop-delay';
 import type { Log } from '../base/log';
 import { describe, runLoop } from '../base/loop';
 import type { Random } from '../base/random';
@@ -26,13 +26,14 @@
 import { BlockOwner, type OwnAnswer } from './block-owner';
 import { ChainUrgency } from './chain-urgency';
 import { CloudView } from './cloud-view';
-import type { Deps } from './deps';
-import { Keeping } from './keeping';
+import type { NodeContext } from './node-context';
+import { LeaseExtension } from './lease-extension';
+import { LeaseRelay } from './lease-relay';
 import { Leader } from './leader';
-import { isUnheard, Reach } from './reach';
-import { Vouching } from './vouching';
+import { areMostUnreachable, PeerReachability } from './peer-reachability';
 
-export interface Outside {
+/** Clock, randomness, log and connections that a node is given. */
+export interface Environment {
   clock: Clock;
   /** Steady time at which this process began. */
   startedAt: number;
@@ -55,7 +56,7 @@
 const LEADER_PAUSE_MS = 1_000;
 const OWNER_PAUSE_MS = 500;
 const PROGRESS_MS = 1_000;
-const KEEPING_MS = 250;
+const LEASE_RELAY_MS = 250;
 const TYPES_REFRESH_MS = 60_000;
 const FRESH_FOR_MS = 4_000;
 /** How far apart nodes may notice the same outage: their watches' ends, and the pace at which they speak. */
@@ -75,14 +76,14 @@
 /** One controller: its copy of the records, its lease, and the blocks that it owns. */
 export class Node {
   readonly jobs: JobStore;
-  readonly #deps: Deps;
+  readonly #deps: NodeContext;
   readonly #cache: WatchCache;
   readonly #session: Session;
   readonly #leader: Leader;
   readonly #cloudView: CloudView;
-  readonly #vouching: Vouching;
-  readonly #reach: Reach;
-  readonly #keeping: Keeping;
+  readonly #leaseExtension: LeaseExtension;
+  readonly #reachability: PeerReachability;
+  readonly #leaseRelay: LeaseRelay;
   readonly #dependentCancellation: DependentCancellation;
   #taking = false;
   readonly #owners = new Map<number, BlockOwner>();
@@ -96,10 +97,10 @@
 
   constructor(
     readonly settings: Settings,
-    private readonly outside: Outside,
+    private readonly environment: Environment,
     store?: StateStore,
   ) {
-    const { clock, log, http, workers, random } = outside;
+    const { clock, log, http, workers, random } = environment;
     const { platform } = settings;
     const { state, cloud } = platform.deployment;
     const stateStore =
@@ -122,10 +123,16 @@
     this.#session = new Session(platform.node, settings.blockLeaseMs, stateStore, this.#cache, clock, log);
     const announce = (event: Event): void => {
       this.#cache.offer(event);
-      outside.broadcast(writePeerMessage({ kind: 'nudge', event }));
+      environment.broadcast(writePeerMessage({ kind: 'nudge', event }));
     };
-    const controllers = [platform.node, ...platform.others.map((other) => other.node)];
-    const formatGate = new FormatGate(platform.node, controllers, stateStore, this.#cache, clock, log);
+    const formatGate = new FormatGate({
+      node: platform.node,
+      controllers: [platform.node, ...platform.others.map((other) => other.node)],
+      store: stateStore,
+      cache: this.#cache,
+      clock,
+      log,
+    });
     const finals = new FinalStates(stateStore, formatGate);
     // It hears of an end before the graph forgets the job.
     const ended = new EndedJobs(this.#cache, clock, platform.deployment.workers.cancel_s, (id) =>
@@ -148,23 +155,23 @@
       dependencies,
       chainUrgency: new ChainUrgency(dependencies.graph, this.#cache),
       ...{ node: platform.node, settings, clock, random, log, store: stateStore, cache: this.#cache },
-      lag: new Lag(clock),
+      eventLoopDelay: new EventLoopDelay(clock),
       ended,
       ...{ session: this.#session, jobs: this.jobs, cloud: cloudApi, workers, announce },
       types: () => this.#types,
     };
     this.#cloudView = new CloudView(cloudApi, clock);
-    this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#vouching.mayTake);
-    this.#vouching = new Vouching(
+    this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#leaseExtension.mayAcquireBlocks);
+    this.#leaseExtension = new LeaseExtension(
       this.#deps,
       (message) => {
-        outside.broadcast(writePeerMessage(message));
+        environment.broadcast(writePeerMessage(message));
       },
       () => this.#taking,
-      outside.startedAt,
+      environment.startedAt,
     );
-    this.#reach = new Reach(clock);
-    this.#keeping = new Keeping(this.#deps, this.#reach);
+    this.#reachability = new PeerReachability(clock);
+    this.#leaseRelay = new LeaseRelay(this.#deps, this.#reachability);
     this.#leaderWake = new Wake(clock);
     this.#ownerWake = new Wake(clock);
     this.#cloudView.watch(this.#cache);
@@ -174,12 +181,12 @@
   }
 
   start(): void {
-    const { clock, log } = this.outside;
+    const { clock, log } = this.environment;
     const { signal } = this.#stop;
     const loop = (name: string, step: () => Promise<void>, pauseMs?: number): void => {
       void runLoop(name, step, { clock, log, signal }, pauseMs);
     };
-    loop('lag', () => this.#deps.lag.step(signal));
+    loop('event loop delay', () => this.#deps.eventLoopDelay.step(signal));
     loop('watch', () => this.#cache.step(), 300);
     loop('record format', () => this.#deps.formatGate.step(signal), 300);
     loop('session', () => this.#session.step(signal), 300);
@@ -191,11 +198,11 @@
       await this.#ownerWake.wait(OWNER_PAUSE_MS);
       await this.#own();
     });
-    loop('keeping', async () => {
-      await clock.sleep(KEEPING_MS, signal);
-      await this.#keeping.step();
+    loop('lease relay', async () => {
+      await clock.sleep(LEASE_RELAY_MS, signal);
+      await this.#leaseRelay.step();
     });
-    loop('vouching', () => this.#vouching.step(signal));
+    loop('lease extension', () => this.#leaseExtension.step(signal));
     loop('machine types', () => this.#refreshTypes(signal), 2_000);
     loop('cloud list', () => this.#listCloud(signal), 3_000);
     loop('dependencies', () => this.#deps.dependencies.step());
@@ -225,7 +232,7 @@
   }
 
   get #fresh(): boolean {
-    return this.outside.clock.now() - this.#cache.freshAt < FRESH_FOR_MS;
+    return this.environment.clock.now() - this.#cache.freshAt < FRESH_FOR_MS;
   }
 
   /**
@@ -235,15 +242,15 @@
   get ready(): boolean {
     if (!this.informed) return false;
     if (this.#fresh || this.settings.platform.others.length === 0) return true;
-    if (this.outside.clock.now() - this.#peersHeardAt > PEER_MEMORY_MS) return false;
+    if (this.environment.clock.now() - this.#peersHeardAt > PEER_MEMORY_MS) return false;
     // In an outage all lose it, though not all notice at the same moment: each removal by the load balancer makes the
     // next return slower, so only peers that go on reaching it for longer count.
     return this.#peersFreshAt < this.#cache.freshAt + FRESH_FOR_MS + NOTICE_SPREAD_MS;
   }
 
   /** How this process keeps up with its work. */
-  get lag(): Lag {
-    return this.#deps.lag;
+  get eventLoopDelay(): EventLoopDelay {
+    return this.#deps.eventLoopDelay;
   }
 
   /** Adds what is known of a live job's progress, for display. */
@@ -260,9 +267,9 @@
   async cancel(id: string): Promise<JobStatus | undefined> {
     const status = await this.jobs.cancel(id, this.#progress.get(id)?.done ?? 0);
     if (status?.state !== 'cancelled' || this.#deps.dependencies.graph.condemned.size === 0) return status;
-    const until = this.outside.clock.now() + CANCEL_DEPENDENTS_MS;
+    const until = this.environment.clock.now() + CANCEL_DEPENDENTS_MS;
     await this.#dependentCancellation.cancelCondemned(until).catch((error: unknown) => {
-      this.outside.log.info({ job: id, err: describe(error) }, 'dependents are still to be cancelled');
+      this.environment.log.info({ job: id, err: describe(error) }, 'dependents are still to be cancelled');
     });
     return status;
   }
@@ -278,18 +285,18 @@
     if (!record) return { kind: 'undecided' };
     const lease = read.lease(this.#cache.get(KEY.lease(record.block))?.value);
     if (!lease || lease.owner === this.#deps.node) return { kind: 'undecided' };
-    this.#reach.turnAway(report.machine, record.block);
-    const kept = record.up ? this.#keeping.answer(report, record.block) : undefined;
-    if (kept) return { kind: 'accepted', ...kept };
+    this.#reachability.recordRedirect(report.machine, record.block);
+    const relayed = record.up ? this.#leaseRelay.answer(report, record.block) : undefined;
+    if (relayed) return { kind: 'accepted', ...relayed };
     // Sent back to an owner that is cut off, a worker would spend its lease waiting for it.
-    const owner = this.#reach.reaches(lease.owner, record.block) ? lease.owner : undefined;
+    const owner = this.#reachability.reaches(lease.owner, record.block) ? lease.owner : undefined;
     return { kind: 'elsewhere', owner };
   }
 
   onPeerFrame(bytes: Uint8Array): void {
     const message = readPeerMessage(bytes);
     if (!message) {
-      this.outside.log.info('a message of a peer could not be read');
+      this.environment.log.info('a message of a peer could not be read');
       return;
     }
     this.#onPeer(message);
@@ -301,16 +308,16 @@
       return;
     }
     if (message.kind === 'ask') {
-      this.#vouching.onAsk(message.ask);
+      this.#leaseExtension.onRequest(message.ask);
       return;
     }
     if (message.kind === 'promise') {
-      this.#vouching.onPromise(message.promise);
+      this.#leaseExtension.onGrant(message.promise);
       return;
     }
-    this.#peersHeardAt = this.outside.clock.now();
-    if (message.progress.fresh) this.#peersFreshAt = this.outside.clock.now();
-    this.#reach.onProgress(message.progress);
+    this.#peersHeardAt = this.environment.clock.now();
+    if (message.progress.fresh) this.#peersFreshAt = this.environment.clock.now();
+    this.#reachability.onProgress(message.progress);
     this.#takeProgress(message.progress.jobs);
   }
 
@@ -321,7 +328,7 @@
   #onChange(event: Event): void {
     for (const owner of this.#owners.values()) owner.onChange(event);
     const { key } = event;
-    if (key.startsWith(PREFIX.keep)) return;
+    if (key.startsWith(PREFIX.relay)) return;
     if (key.startsWith(PREFIX.job)) {
       if (event.deleted) this.#progress.delete(key.slice(PREFIX.job.length));
     } else if (!isQuietKey(key)) {
@@ -384,7 +391,7 @@
       );
       if (!result.ok) continue;
       // The tables are built from a view that holds everything the owner before us could have acted on.
-      while (cache.revision < result.revision && session.valid) await this.outside.clock.sleep(5);
+      while (cache.revision < result.revision && session.valid) await this.environment.clock.sleep(5);
       if (!session.valid || read.lease(cache.get(KEY.lease(block))?.value)?.owner !== node) {
         log.warn({ block }, 'a block was lost before it was taken');
         return;
@@ -401,13 +408,13 @@
    */
   #mayTake({ holder }: BlockRecord): boolean {
     const neverHeld = this.#cache.get(KEY.baton) === undefined;
-    return this.#vouching.mayTake || neverHeld || holder === this.#deps.node;
+    return this.#leaseExtension.mayAcquireBlocks || neverHeld || holder === this.#deps.node;
   }
 
   /** A node that is cut from most workers of its block gives it to one that they come to instead. */
   async #handOver(owner: BlockOwner): Promise<void> {
     const { machines, unheard } = owner.hearing();
-    const heir = this.#reach.heir(owner.block, machines, unheard);
+    const heir = this.#reachability.successor(owner.block, machines, unheard);
     const { store, cache, log } = this.#deps;
     const key = KEY.block(owner.block);
     const record = read.block(cache.get(key)?.value);
@@ -455,12 +462,12 @@
     this.#takeProgress(jobs);
     const unheard = [...this.#owners.values()].filter((owner) => {
       const { machines, unheard } = owner.hearing();
-      return isUnheard(machines, unheard);
+      return areMostUnreachable(machines, unheard);
     });
     const progress = {
       ...{ from: this.#deps.node, fresh: this.#fresh, jobs: jobs.slice(0, MAX_PROGRESS) },
-      ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reach.turnedAway() },
+      ...{ unheard: unheard.map((o) => o.block), turnedAway: this.#reachability.redirected() },
     };
-    this.outside.broadcast(writePeerMessage({ kind: 'progress', progress }));
+    this.environment.broadcast(writePeerMessage({ kind: 'progress', progress }));
   }
 }
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -4,7 +4,7 @@
 import { completionLayout, groupByRecord, readCompletions } from '../bookkeeping/completion-records';
 import { KEY, type FinalRecord } from '../bookkeeping/records';
 import type { Change, Guard } from '../protocol/state';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import type { DispatchTable } from './dispatch-table';
 
 /** What the recorder needs of the block. */
@@ -45,7 +45,7 @@
 
   constructor(
     private readonly block: Recorded,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {
     this.#wake = new Wake(deps.clock);
   }
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -73,7 +73,7 @@
           return knownOr(submission.id, refused(400, submission.error));
         }
         const { job } = submission;
-        if (node.types.length === 0 || !node.lag.maySubmit) return undecided();
+        if (node.types.length === 0 || !node.eventLoopDelay.allowsSubmissions) return undecided();
         const never = whyNever(job, node.types, teams);
         if (never !== undefined) return knownOr(job.id, refused(422, never));
         const { isNew, status } = await node.jobs.accept(job);
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -2,7 +2,7 @@
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { chooseConsolidation, type SparseMachine } from './consolidation';
-import type { Deps } from './deps';
+import type { NodeContext } from './node-context';
 import { eagerCandidates } from './eager';
 import type { FleetInput, FleetMachine, RentOption } from './fleet';
 import { holdsRoom, ranS, type Machine } from './machine';
@@ -41,7 +41,7 @@
   constructor(
     private readonly block: Block,
     private readonly attempts: Attempts,
-    private readonly deps: Deps,
+    private readonly deps: NodeContext,
   ) {}
 
   get unplaced(): ReadonlyMap<string, number> {
@@ -55,12 +55,12 @@
     this.#eager(now);
     this.#endCancelled(now);
     this.#retire(now);
-    if (this.deps.lag.mayMeasure) this.#consolidate(now);
+    if (this.deps.eventLoopDelay.allowsOptimization) this.#consolidate(now);
   }
 
   /**
    * A cancelled task on a machine that can't be reached is proved gone by returning the machine, also where many are
-   * silent at once and taken for a cut of ours, or other nodes keep the leases: a machine that hangs hears neither.
+   * silent at once and taken for a cut of ours, or other nodes relay the leases: a machine that hangs hears neither.
    */
   #endCancelled(now: number): void {
     for (const [, machine] of this.attempts.overdueStops(now)) {
@@ -222,7 +222,7 @@
     if (this.block.isKept) this.heedKeeping(now);
   }
 
-  /** Some node keeps leases, or has until now: any silent worker may have been answered just now. */
+  /** Some node relays leases, or has until now: any silent worker may have been answered just now. */
   heedKeeping(now: number): void {
     for (const machine of this.block.machines.values()) {
       if (machine.up) machine.answeredAt = Math.max(machine.answeredAt, now);
@@ -237,10 +237,10 @@
 
   /**
    * Machines whose workers' leases ran out: they have killed and forgotten all they had, for nobody can have answered
-   * them since, neither we nor a keeper.
+   * them since, neither we nor a relay.
    */
   async expire(): Promise<void> {
-    // Without the state service nobody can be asked who keeps; returning a machine proves its end all the same.
+    // Without the state service nobody can be asked who relays; returning a machine proves its end all the same.
     if (this.deps.store.troubled || this.#overdue(this.deps.clock.now()).length === 0) return;
     if (!(await this.block.nobodyKeeps())) return;
     // What was kept until a moment ago is in our view by now.
@@ -301,7 +301,7 @@
       if (machine) machine.leaving ??= 'silent';
     }
     if (candidates.length === 0 || !this.#complete || this.#unplaced.size > 0) return;
-    if (!this.deps.lag.mayMeasure) return;
+    if (!this.deps.eventLoopDelay.allowsOptimization) return;
     const rooms = [...this.block.machines.values()]
       .filter((m) => this.block.usable(m, now))
       .map((m) => ({ m, room: m.free() }));
--- /dev/null
+++ b/test/limited-service.ts
@@ -0,0 +1,68 @@
+/** @file A state service that enforces limits, for tests of their fall. */
+import assert from 'node:assert/strict';
+import { runLoop } from '../src/base/loop';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
+import { HttpStateStore } from '../src/protocol/state';
+import { RateLimit } from '../src/transport/rate-limit';
+import { FakeClock } from './fakes/clock';
+import { FakeNetwork } from './fakes/network';
+import { FakeStateService } from './fakes/state-service';
+
+export const NOW = { rps: 200, write_rps: 100, value_kb: 16, txn_ops: 32 };
+export const FALLEN = { rps: 150, write_rps: 12, value_kb: 2, txn_ops: 10 };
+export const FALLEN_SERVICE = { valueKb: 2, txnOps: 10, writeRps: 12 };
+export const NOW_SERVICE = { valueKb: 16, txnOps: 32, writeRps: 100 };
+export const quiet = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+
+/** A state service with one node's store and copy of its records. */
+export class Service {
+  readonly clock = new FakeClock();
+  readonly network = new FakeNetwork(this.clock);
+  readonly state = new FakeStateService(this.clock);
+  readonly store = this.#newStore(FALLEN.write_rps);
+  readonly cache = this.secondCache();
+  readonly stopped = new AbortController();
+
+  constructor() {
+    this.network.attach('10.2.0.1:2379', (request) => this.state.handle(request));
+  }
+
+  #newStore(writeRps: number): HttpStateStore {
+    const [requests, writes] = [NOW.rps, writeRps].map((rate) => new RateLimit(this.clock, rate, rate));
+    assert(requests && writes);
+    return new HttpStateStore(this.network.caller('node-0'), '10.2.0.1:2379', requests, writes, 1500);
+  }
+
+  /** A copy that is read anew. */
+  secondCache(): WatchCache {
+    const cache = new WatchCache(this.#newStore(NOW.write_rps), 'live/', this.clock, 500, 50);
+    const deps = { clock: this.clock, log: quiet, signal: new AbortController().signal };
+    void runLoop('watch', () => cache.step(), deps, 300);
+    return cache;
+  }
+
+  async load(): Promise<void> {
+    await this.clock.advance(100);
+    assert.ok(this.cache.loaded);
+  }
+
+  /** Lets time pass until it is done, and a little longer for the watches to tell of it. */
+  async whileDoing(work: Promise<unknown>): Promise<void> {
+    let isOver = false;
+    const over = work.finally(() => {
+      isOver = true;
+    });
+    for (let step = 0; step < 600 && !isOver; step += 1) await this.clock.advance(10);
+    await over;
+    await this.clock.advance(1_000);
+  }
+
+  keys(prefix: string): string[] {
+    return [...this.state.data.keys()].filter((key) => key.startsWith(prefix));
+  }
+}
--- /dev/null
+++ b/test/state-limits-fall.test.ts
@@ -0,0 +1,293 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { runLoop } from '../src/base/loop';
+import { makeSettings } from '../src/base/settings';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
+import { Block } from '../src/coordination/block';
+import type { NodeContext } from '../src/coordination/node-context';
+import { Leader } from '../src/coordination/leader';
+import { Recorder } from '../src/coordination/recorder';
+import type { CloudView } from '../src/coordination/cloud-view';
+import type { Job } from '../src/protocol/model';
+import { type Guard } from '../src/protocol/state';
+import { submission } from './fakes/submission';
+import { FALLEN, FALLEN_SERVICE, NOW, NOW_SERVICE, quiet, Service } from './limited-service';
+import { World } from './fakes/world';
+
+const TASKS = 100_000;
+
+function platform(next?: unknown): unknown {
+  return {
+    node: 'node-0',
+    area: 'a',
+    bind: '10.0.0.1:8080',
+    back: '10.0.0.1:8081',
+    external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
+    deployment: {
+      teams: [{ name: 'blue' }],
+      workers: { report_s: 0.8, lease_s: 10, cancel_s: 30 },
+      state: { ...NOW, next },
+      cloud: { rps: 5, list_lag_s: 2 },
+      quota: {},
+    },
+  };
+}
+
+// Settings.
+
+const JOB = { id: 'req-1', tasks: TASKS, team: 'blue', deadlineS: null } as Job;
+
+/** An owner of the block, reduced to its tables and its recorder. */
+class Owner {
+  readonly cache: WatchCache;
+  readonly recorder: Recorder;
+  readonly block: Block;
+  readonly closed: string[] = [];
+  readonly #stop = new AbortController();
+
+  private constructor(
+    readonly service: Service,
+    cache: WatchCache,
+    isOpen: boolean,
+    next: unknown,
+  ) {
+    this.cache = cache;
+    const deps = {
+      node: 'node-0',
+      settings: makeSettings(platform(next), {}),
+      clock: service.clock,
+      log: quiet,
+      store: service.store,
+      cache,
+      formatGate: { isOpen },
+      session: { valid: true },
+      jobs: {
+        rememberFinal: () => undefined,
+        finalRecord: (state: string, done: number) => ({ state, done }),
+      },
+      types: () => [],
+      announce: () => undefined,
+    } as unknown as NodeContext;
+    this.block = new Block(0, ['blue'], 1, 0, 0, deps, () => undefined);
+    const guard: Guard = { key: 'live/lease/0', version: 0 };
+    const recorded = {
+      tables: this.block.tables,
+      entitled: true,
+      leaseGuard: () => guard,
+      closeJob: (id: string) => {
+        this.closed.push(id);
+        this.block.tables.delete(id);
+      },
+      recordedMore: () => undefined,
+    };
+    this.recorder = new Recorder(recorded, deps);
+    const { signal } = this.#stop;
+    void runLoop('records', () => this.recorder.step(signal), { clock: service.clock, log: quiet, signal });
+  }
+
+  /** Takes the block as a new owner does: from a copy of the records that was read anew. */
+  static async take(service: Service, options: { isOpen: boolean; next?: unknown }): Promise<Owner> {
+    const cache = service.secondCache();
+    await service.clock.advance(500);
+    assert.ok(cache.loaded);
+    return new Owner(service, cache, options.isOpen, options.next);
+  }
+
+  get table(): NonNullable<ReturnType<Block['tables']['get']>> {
+    const table = this.block.tables.get('req-1');
+    assert(table);
+    return table;
+  }
+
+  complete(from: number, to: number, step = 1): void {
+    for (let task = from; task < to; task += step) this.table.complete(task);
+    this.recorder.wake();
+  }
+
+  async untilRecorded(limitS = 60): Promise<void> {
+    for (let second = 0; second < limitS && this.table.unrecorded.size > 0; second += 1)
+      await this.service.clock.advance(1000);
+    assert.equal(this.table.unrecorded.size, 0, 'not all is recorded');
+  }
+
+  async untilClosed(limitS = 60): Promise<void> {
+    for (let second = 0; second < limitS && this.closed.length === 0; second += 1)
+      await this.service.clock.advance(1000);
+    assert.deepEqual(this.closed, ['req-1']);
+  }
+
+  stop(): void {
+    this.#stop.abort();
+  }
+}
+
+async function serviceWithJob(): Promise<Service> {
+  const service = new Service();
+  await service.load();
+  const record = { put: 'live/job/req-1', value: { job: JOB, submittedAt: 0 } };
+  await service.whileDoing(service.store.txn([], [record]));
+  return service;
+}
+
+/** A leader that does nothing but delete what jobs that are over left behind. */
+function sweeper(service: Service, cache: WatchCache): Leader {
+  const deps = {
+    node: 'node-0',
+    settings: makeSettings(platform(FALLEN), {}),
+    log: quiet,
+    store: service.store,
+    cache,
+    clock: service.clock,
+    session: { valid: true, lease: 1 },
+  } as unknown as NodeContext;
+  const noMachines = { machines: () => [], isGone: () => false } as unknown as CloudView;
+  return new Leader(deps, noMachines, () => false);
+}
+
+test('a job of 100,000 tasks outlives the fall of the limits and takeovers, with its old chunks', async () => {
+  const service = await serviceWithJob();
+  service.state.limits = NOW_SERVICE;
+  // Before all controllers understand parts, chunks are written; 11 KB of text each.
+  const before = await Owner.take(service, { isOpen: false, next: FALLEN });
+  before.complete(0, 70_000, 2);
+  await before.untilRecorded();
+  assert.deepEqual(service.keys('live/done/'), ['live/done/req-1/0', 'live/done/req-1/1']);
+  assert.deepEqual(service.keys('live/bits/'), []);
+  assert.ok(service.state.largestValue > 10_000);
+  before.stop();
+  // The next owner writes parts only.
+  const chunks = service.keys('live/done/').map((key) => service.state.data.get(key)?.stamp);
+  service.state.largestValue = 0;
+  service.state.largestTxn = 0;
+  const after = await Owner.take(service, { isOpen: true, next: FALLEN });
+  assert.equal(after.table.done, 35_000, 'old chunks count');
+  after.complete(1, 30_000, 2);
+  await after.untilRecorded();
+  // The limits fall, while completions go on.
+  service.state.limits = FALLEN_SERVICE;
+  after.complete(30_001, 70_000, 2);
+  await after.untilRecorded();
+  assert.ok(service.keys('live/bits/').length >= 5);
+  assert.deepEqual(
+    service.keys('live/done/').map((key) => service.state.data.get(key)?.stamp),
+    chunks,
+    'old chunks stay as they are',
+  );
+  after.complete(70_000, 80_000);
+  await service.clock.advance(40);
+  // Another takes over in the middle of it. What was not recorded is told again by the workers.
+  after.stop();
+  await service.clock.advance(5_000);
+  const last = await Owner.take(service, { isOpen: true, next: FALLEN });
+  assert.ok(last.table.done >= 70_000);
+  for (let task = 0; task < 70_000; task += 1) assert.ok(last.table.isDone(task), `task ${task} was lost`);
+  last.complete(70_000, TASKS - 1);
+  await last.untilRecorded();
+  assert.equal(service.state.data.has('final/req-1'), false, 'one task is still to be done');
+  assert.ok(service.keys('live/').length > 10, 'more records than one transaction may delete');
+  last.complete(TASKS - 1, TASKS);
+  await last.untilClosed();
+  assert.deepEqual(service.state.data.get('final/req-1')?.data, { state: 'done', done: TASKS });
+  assert.equal(service.state.data.has('live/job/req-1'), false);
+  // The leader deletes what the last transaction had no room for.
+  assert.ok([...service.keys('live/done/'), ...service.keys('live/bits/')].length > 0);
+  const leads = { put: 'live/leader', value: { node: 'node-0' } };
+  await service.whileDoing(service.store.txn([], [leads]));
+  const leader = sweeper(service, service.cache);
+  for (let step = 0; step < 5; step += 1) {
+    await service.whileDoing(leader.step());
+  }
+  assert.deepEqual([...service.keys('live/done/'), ...service.keys('live/bits/')], []);
+  assert.deepEqual(service.state.oversized, []);
+  assert.ok(service.state.largestValue <= 2048, `${service.state.largestValue} bytes`);
+  assert.ok(service.state.largestTxn <= 10, `${service.state.largestTxn} changes`);
+});
+
+test('parts that were written under a higher limit keep counting when shorter ones lie beside them', async () => {
+  const service = await serviceWithJob();
+  const higher = await Owner.take(service, { isOpen: true, next: { value_kb: 8 } });
+  higher.complete(10_000, 60_000);
+  await higher.untilRecorded();
+  higher.stop();
+  const lower = await Owner.take(service, { isOpen: true, next: FALLEN });
+  assert.equal(lower.table.done, 50_000);
+  lower.complete(0, 10);
+  await lower.untilRecorded();
+  lower.stop();
+  const last = await Owner.take(service, { isOpen: true, next: FALLEN });
+  assert.equal(last.table.done, 50_010);
+  for (let task = 10_000; task < 60_000; task += 1) assert.ok(last.table.isDone(task));
+});
+
+test('a part written without an answer is found again, and nothing in it is lost', async () => {
+  const service = await serviceWithJob();
+  service.state.limits = FALLEN_SERVICE;
+  const owner = await Owner.take(service, { isOpen: true, next: FALLEN });
+  let lost = 0;
+  service.state.rule(({ path, body }) => {
+    if (path !== '/txn' || lost > 0) return undefined;
+    const { apply = [] } = body as { apply?: { set?: string }[] };
+    if (apply[0]?.set?.startsWith('live/bits/') !== true) return undefined;
+    lost += 1;
+    return 'lose answer';
+  });
+  owner.complete(0, 500);
+  await service.clock.advance(500);
+  owner.complete(500, 900);
+  await owner.untilRecorded();
+  assert.equal(lost, 1);
+  owner.stop();
+  const next = await Owner.take(service, { isOpen: true, next: FALLEN });
+  assert.equal(next.table.done, 900);
+});
+
+// A whole deployment.
+
+test('the limits fall under full load with a takeover under way: nothing is lost, nothing too large is sent', async () => {
+  const next = { value_kb: 2, txn_ops: 10, write_rps: 28 };
+  const world = new World({ nextLimits: next });
+  world.capacity = 12;
+  world.state.limits = NOW_SERVICE;
+  await world.untilOwned();
+  const marks = (): number => [...world.state.data.keys()].filter((k) => k.startsWith('live/format/')).length;
+  await world.until('all controllers have left their marks', () => marks() === 3);
+  world.state.largestValue = 0;
+  world.state.largestTxn = 0;
+  await world.submit('req-1', { pieces: TASKS, cpus: 0.05, memGb: 0.01 }, 2);
+  for (let n = 2; n < 20; n += 1) await world.submit(`req-${n}`, { pieces: 1 + (n % 7) }, 3, n % 3);
+  await world.until('tasks run', () => world.running.length > 5);
+  world.state.limits = { valueKb: 2, txnOps: 10, writeRps: 28 };
+  // At this moment more submissions come at once than the rate of changes allows.
+  const burst = Array.from({ length: 60 }, (_, n) => `req-${100 + n}`);
+  for (const [n, id] of burst.entries()) {
+    const address = world.controllers[n % 3]?.address ?? '';
+    const body = submission(id, { pieces: 2 });
+    world.network
+      .caller('user')
+      .call(address, 'POST', '/work', body, 5000)
+      .catch(() => undefined);
+  }
+  const { owner } = world;
+  world.kill(owner);
+  const alive = [0, 1, 2].filter((index) => index !== owner);
+  for (const id of burst) await world.submit(id, { pieces: 2 }, 5, alive[0]);
+  for (let n = 20; n < 50; n += 1) await world.submit(`req-${n}`, { pieces: 1 + (n % 5) }, 3, alive[n % 2]);
+  world.restart(owner);
+  await world.clock.advance(10_000);
+  const bits = [...world.state.data.keys()].filter((key) => key.startsWith('live/bits/req-1/'));
+  assert.ok(bits.length > 0, 'completions of the large job are in parts');
+  assert.equal(
+    [...world.state.data.keys()].some((key) => key.startsWith('live/done/req-1/')),
+    false,
+  );
+  for (let n = 2; n < 50; n += 1) await world.untilStanding(`req-${n}`, 'done', 120, alive[0]);
+  for (const id of burst) await world.untilStanding(id, 'done', 120, alive[0]);
+  assert.equal(await world.cancel('req-1', alive[1]), 'withdrawn');
+  await world.clock.advance(15_000);
+  const left = [...world.state.data.keys()].filter((key) => /^live\/(job|done|bits)\//.test(key));
+  assert.deepEqual(left, []);
+  assert.deepEqual(world.state.oversized, []);
+  assert.ok(world.state.largestValue <= 2048, `${world.state.largestValue} bytes`);
+  assert.ok(world.state.largestTxn <= 10, `${world.state.largestTxn} changes`);
+  world.noRuleBroken();
+});
--- /dev/null
+++ b/test/upgrade-steps.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import { read, RECORD_FORMAT } from '../src/bookkeeping/records';
+import type { Request } from './fakes/network';
+import type { Version } from './fakes/versions';
+import { World } from './fakes/world';
+
+export const OLD = 'production';
+export const NEW = 'present';
+export const ALL_OLD: Version[] = [OLD, OLD, OLD];
+export const CONTROLLERS = ['node-0', 'node-1', 'node-2'];
+/** How long a restart takes. */
+export const RESTART_MS = 1_500;
+export const ROLL_STEPS_MS = [10_000, 12_000, 15_000];
+
+export interface Change {
+  set?: string;
+  delete?: string;
+}
+
+/** Whether a request is a transaction that writes a record whose key begins so. */
+export function writes({ path, body }: Request, prefix: string): boolean {
+  if (path !== '/txn') return false;
+  const { apply = [] } = body as { apply?: Change[] };
+  return apply.some((change) => change.set?.startsWith(prefix) === true);
+}
+
+export function versionOf(world: World, index: number): Version | undefined {
+  return world.controllers[index]?.version;
+}
+
+/** The index of the controller that the leader record names, or -1. */
+export function leader(world: World): number {
+  const record = read.leader(world.state.data.get('live/leader')?.data);
+  return world.controllers.findIndex(({ name }) => name === record?.node);
+}
+
+/** Controllers that have left their mark of the present record format. */
+export function marked(world: World): string[] {
+  return CONTROLLERS.filter((name) => {
+    const record = read.format(world.state.data.get(`live/format/${name}`)?.data);
+    return record !== undefined && record.format >= RECORD_FORMAT;
+  });
+}
+
+export function isGateOpen(world: World): boolean {
+  return marked(world).length === CONTROLLERS.length;
+}
+
+/** Restarts a controller with the present version. */
+export async function upgrade(world: World, index: number): Promise<void> {
+  world.kill(index);
+  await world.clock.advance(RESTART_MS);
+  world.restart(index, NEW);
+}
+
+/** Every start order that a worker executed, by task: how often it was started. */
+export function startsOf(world: World, job: string): Map<string, number> {
+  const starts = new Map<string, number>();
+  for (const order of [...world.workers.values()].flatMap((worker) => worker.startOrders)) {
+    const [task = ''] = order.split('#');
+    if (task.startsWith(`${job}/`)) starts.set(task, (starts.get(task) ?? 0) + 1);
+  }
+  return starts;
+}
+
+export function assertStartedOnce(world: World, job: string, tasks: number): void {
+  const starts = startsOf(world, job);
+  assert.equal(starts.size, tasks, `${job}: tasks started`);
+  assert.deepEqual(
+    [...starts].filter(([, times]) => times > 1),
+    [],
+    `${job}: tasks started again`,
+  );
+}
+
+/** The owner is cut from its workers; they come to the controller after it, which gets the block. */
+export async function handOver(world: World): Promise<number> {
+  const owner = world.controllers[world.owner];
+  const heir = (world.owner + 1) % CONTROLLERS.length;
+  const heal = world.network.rule(({ from, to }) => {
+    const isReport = from.startsWith('host-') && to === owner?.address;
+    const isCommand = from === owner?.name && to.startsWith('10.1.');
+    return isReport || isCommand ? 'lose' : undefined;
+  });
+  await world.until(`node-${heir} owns the block`, () => world.owner === heir, 40);
+  heal();
+  await world.clock.advance(12_000);
+  return heir;
+}
+
+export async function runTasks(world: World, job: string, tasks: number, runS: number): Promise<void> {
+  await world.submit(job, { pieces: tasks, reckonS: runS }, runS);
+  const running = (): number => world.running.filter((task) => task.startsWith(`${job}/`)).length;
+  await world.until(`${tasks} tasks of ${job} run`, () => running() >= tasks);
+}
+
+/** A deployment whose block is owned, and which is led, by the first controller. */
+export async function ownedByFirst(versions: Version[]): Promise<World> {
+  const world = new World({ versions });
+  assert.equal(await world.untilOwned(), 0);
+  assert.equal(leader(world), 0);
+  return world;
+}
