--- /dev/null
+++ b/test/submission-answers.test.ts
@@ -0,0 +1,130 @@
+/** @file Answers to valid, invalid and repeated submissions. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createRoutes } from '../src/coordination/routes';
+import { codec } from '../src/protocol/codec';
+import type { Answer } from '../src/transport/http-client';
+import { submission } from './fakes/submission';
+import { World } from './fakes/world';
+import { NODES } from './user-steps';
+
+const CLOUD = '10.2.0.2:8443';
+
+test('a submission, field by field: what may be null or missing, and what is invalid', async () => {
+  const world = new World();
+  await world.untilOwned();
+  const full: Record<string, unknown> = submission('req-1');
+  const nullable = ['frames', 'yard', 'dueS'];
+  const post = async (body: unknown): Promise<number> => (await world.ask(0, 'POST', '/work', body)).status;
+  for (const name of Object.keys(full)) {
+    if (nullable.includes(name)) continue;
+    const without = { ...full };
+    Reflect.deleteProperty(without, name);
+    assert.equal(await post(without), 400, `${name} is missing`);
+    assert.equal(await post({ ...full, [name]: null }), 400, `${name} is null`);
+    const types: unknown[] = ['', 'x', -1, 1.5, true, [], {}, Number.NaN];
+    const fine = (value: unknown): boolean =>
+      typeof value === typeof full[name] && value !== -1 && value !== '' && !Number.isNaN(value as number);
+    for (const value of types.filter((v) => !fine(v)))
+      assert.equal(await post({ ...full, [name]: value }), 400, `${name}: ${String(value)}`);
+  }
+  for (const [name, value] of [
+    ['frames', 'm4'],
+    ['frames', [1]],
+    ['frames', ['']],
+    ['yard', 1],
+    ['yard', ''],
+    ['dueS', 'soon'],
+    ['dueS', -1],
+    ['shape', 'x'],
+    ['urgency', 'x'],
+    ['nameId', 'job-1'],
+    ['nameId', 'req-1/2'],
+    ['pieces', 0],
+    ['pieces', 100_001],
+    ['pieces', 1.5],
+  ] as const)
+    assert.equal(await post({ ...full, [name]: value }), 400, `${name}: ${JSON.stringify(value)}`);
+  for (const body of [undefined, null, 7, 'text', [], [full]]) assert.equal(await post(body), 400);
+  // What can never run; frames and yard count together, for a type need not be offered everywhere.
+  world.network.attach(CLOUD, (request) => {
+    if (request.path !== '/flavors') return { status: 503, body: { error: 'trouble' } };
+    const frame = {
+      cpus: 4,
+      cards: 0,
+      memGb: 16,
+      cacheGb: 50,
+      fetchGbPerS: 1,
+      rate: 1,
+      spotPrice: 0.3,
+      bootS: 10,
+    };
+    const frames = [
+      { ...frame, label: 'm4', yards: ['a'] },
+      { ...frame, label: 'm8', cpus: 8, yards: ['b'] },
+    ];
+    return { status: 200, body: { frames } };
+  });
+  await world.clock.advance(130_000);
+  for (const fields of [
+    { frames: [] },
+    { yard: 'x' },
+    { frames: ['m4'], yard: 'b' },
+    { cpus: 5, yard: 'a' },
+    { frames: ['m4'], cpus: 5 },
+    { crew: 'green' },
+    { memGb: 17 },
+    { cards: 1 },
+  ])
+    assert.equal(await post({ ...full, ...fields }), 422, JSON.stringify(fields));
+  assert.equal(await world.standing('req-1'), 404);
+  // Null and missing are the same where null may be; what we don't know is ignored.
+  for (const name of nullable) {
+    const without: Record<string, unknown> = { ...full, nameId: `req-2${nullable.indexOf(name)}` };
+    Reflect.deleteProperty(without, name);
+    assert.equal(await post({ ...without, awaited: { by: [1] } }), 201, `without ${name}`);
+  }
+  world.noRuleBroken();
+});
+
+test('a job that was accepted is known for ever, whatever machine types the cloud offers later', async () => {
+  const world = new World();
+  await world.submit('req-1', {}, 3);
+  await world.submit('req-2', { pieces: 2 }, 300);
+  await world.untilStanding('req-1', 'done');
+  const frame = { label: 's1', cpus: 0.5, cards: 0, memGb: 1, cacheGb: 50, fetchGbPerS: 1, rate: 1 };
+  world.network.attach(CLOUD, ({ path }) =>
+    path === '/flavors'
+      ? { status: 200, body: { frames: [{ ...frame, spotPrice: 0.3, bootS: 10, yards: ['z'] }] } }
+      : { status: 503, body: { error: 'trouble' } },
+  );
+  await world.clock.advance(130_000);
+  for (const index of NODES) {
+    const post = async (id: string, fields = {}): Promise<Answer> =>
+      world.ask(index, 'POST', '/work', submission(id, fields));
+    const over = await post('req-1');
+    assert.deepEqual([over.status, (over.body as { standing: string }).standing], [200, 'done']);
+    assert.equal((await post('req-2', { pieces: 2 })).status, 200);
+    assert.equal((await post('req-3')).status, 422);
+  }
+  // Undecided while the state service can't say whether it was accepted: never 422, never 404.
+  world.state.outage(true);
+  for (const index of NODES) {
+    assert.equal((await world.ask(index, 'POST', '/work', submission('req-2', { pieces: 2 }))).status, 503);
+    assert.equal(await world.standing('req-2', index), 503);
+    assert.equal((await world.ask(index, 'POST', '/work/req-2/withdraw')).status, 503);
+  }
+  // And each is told when to come back.
+  const { node } = world.controllers[0] ?? assert.fail();
+  const none = (): void => undefined;
+  const log = { error: none, warn: none, info: none, debug: none };
+  const body = codec.encode(submission('req-2', { pieces: 2 }));
+  for (const route of createRoutes(node, log).filter((r) => r.use === 'users')) {
+    const reply = Promise.resolve(route.handle({ params: { id: 'req-2' }, body }));
+    await world.clock.advance(2000);
+    const { status, retryAfterS } = await reply;
+    assert.equal(status, 503, route.url);
+    assert.ok(retryAfterS !== undefined && retryAfterS >= 1 && retryAfterS <= 30, route.url);
+  }
+  world.noRuleBroken();
+});
--- /dev/null
+++ b/test/user-steps.ts
@@ -0,0 +1,71 @@
+/** @file Steps of users that poll all nodes, shared by several scenarios. */
+import assert from 'node:assert/strict';
+import type { Answer } from '../src/transport/http-client';
+import type { Request } from './fakes/network';
+import type { World } from './fakes/world';
+
+/** The index of each node. */
+export const NODES = [0, 1, 2];
+
+interface Put {
+  set?: string;
+  data?: { state?: string };
+}
+
+/** Whether a request writes a final state of this job. */
+export function ends(request: Request, id: string): boolean {
+  if (request.path !== '/txn') return false;
+  const { apply = [] } = request.body as { apply?: Put[] };
+  return apply.some((c) => c.set === `final/${id}`);
+}
+
+/** Sends a user's request; its answer is checked by the rules of the world, and undefined if there is none. */
+export function send(
+  world: World,
+  to: number,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<Answer | undefined> {
+  return world.network
+    .caller('user')
+    .call(world.controllers[to]?.address ?? '', method, path, body, 5000)
+    .catch(() => undefined);
+}
+
+/** Users poll all nodes, and repeat the submission there, every few milliseconds. */
+export function closeLooks(world: World, id: string, job: unknown, forMs: number): { standings: string[] } {
+  const seen = { standings: [] as string[] };
+  const note = (answer: Answer | undefined): void => {
+    if (answer?.status === 200 || answer?.status === 201)
+      seen.standings.push((answer.body as { standing: string }).standing);
+  };
+  for (let at = 0; at < forMs; at += 3) {
+    world.clock.after(at, () => {
+      for (const to of NODES) {
+        void send(world, to, 'GET', `/work/${id}`).then(note);
+        if (at % 2 === 0) void send(world, to, 'POST', '/work', job).then(note);
+      }
+    });
+  }
+  return seen;
+}
+
+/** The state that all nodes answer, which must be the same one at three times. */
+export async function settledAs(world: World, id: string): Promise<string> {
+  const standings = new Set<string | number>();
+  for (let look = 0; look < 3; look += 1) {
+    for (const index of NODES) standings.add(await world.standing(id, index));
+    await world.clock.advance(500);
+  }
+  assert.equal(standings.size, 1, [...standings].join());
+  return String([...standings][0]);
+}
+
+/** Nodes learn of changes only by what they read themselves: peer messages are lost, watches are slow. */
+export function deafToChanges(world: World): void {
+  world.silencePeers = true;
+  world.state.rule(({ path, from }) =>
+    path.startsWith('/changes') && from !== 'story' ? { slowMs: 400 } : undefined,
+  );
+}
