--- a/test/dependencies.test.ts
+++ b/test/dependencies.test.ts
@@ -39,3 +39,21 @@
   assert.equal((await post('req-2', null)).status, 201);
   for (const awaits of [['req-9'], 'req-1', 7]) assert.equal((await post('req-1', awaits)).status, 200);
 });
+
+test('the state of a waiting job lists what it still waits for', async () => {
+  const world = new World();
+  await world.submit('req-1', {}, 3);
+  await world.submit('req-2', {}, 60);
+  await world.submit('req-3', { awaits: ['req-1', 'req-2'] });
+  const awaits = async (index: number): Promise<unknown> => {
+    const { body } = await world.ask(index, 'GET', '/work/req-3');
+    return (body as { awaits?: unknown }).awaits;
+  };
+  for (const index of [0, 1, 2]) assert.deepEqual(await awaits(index), ['req-1', 'req-2']);
+  await world.untilStanding('req-1', 'done');
+  await world.clock.advance(1_000);
+  for (const index of [0, 1, 2]) assert.deepEqual(await awaits(index), ['req-2']);
+  await world.untilStanding('req-3', 'done');
+  assert.equal(await awaits(0), undefined);
+  world.noRuleBroken();
+});
