--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 // Layers, top to bottom. A file may import from its own layer and from those below it only.
-const layers = ['cli', 'coordination', 'bookkeeping', 'protocol', 'transport', 'base'];
+const layers = ['cli', 'coordination', 'admission', 'bookkeeping', 'protocol', 'transport', 'base'];
 
 // Lines are counted without blank ones and comments.
 const sizeRules = {
--- /dev/null
+++ b/src/admission/admission-control.ts
@@ -0,0 +1,143 @@
+/** @file A controller's decisions on submissions, by the epoch that all controllers share. */
+import type { Clock } from '../base/clock';
+import type { Log } from '../base/log';
+import {
+  SubmissionDeferred,
+  type AdmissionPolicy,
+  type AdmissionTerms,
+} from '../bookkeeping/admission-policy';
+import { KEY } from '../bookkeeping/records';
+import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { Job } from '../protocol/model';
+import type { Event, Guard, StateStore } from '../protocol/state';
+import { NoAnswer } from '../transport/http-client';
+import { Busy, type RateLimit } from '../transport/rate-limit';
+import { decide } from './decision';
+import type { Epoch } from './epoch';
+import { flowRecordKey, readAdmitted, readEpoch } from './epoch-records';
+import { flowOf } from './flow';
+import { traceDecision } from './tracing';
+
+/** An overload whose epoch isn't renewed for so many of its intervals is taken to be over. */
+const EXPIRES_AFTER_EPOCHS = 6;
+/** How often records are read again before a submission is answered with 503. */
+const READ_TRIES = 2;
+
+/** What the decisions work on. */
+export interface AdmissionContext {
+  readonly store: StateStore;
+  readonly cache: WatchCache;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Bounds questions about deferred jobs, so that a flood of submissions leaves polls their requests. */
+  readonly lookUps: RateLimit;
+  /** Brings a change that the state service has acknowledged into this node's copy, and tells the other nodes. */
+  announce(event: Event): void;
+}
+
+/**
+ * Admission by epochs. A decision depends on the epoch, on what the job's flow was admitted in this overload, and on the
+ * job; the transaction that accepts the job is guarded on the versions of both records. So a controller whose copy is old
+ * can defer a job that is admitted elsewhere, and never admits one that the newest records defer.
+ *
+ * Outside of an overload the guard on the epoch is all that is added: no request and no change.
+ */
+export class AdmissionControl implements AdmissionPolicy {
+  /** Steady time at which the present epoch was first seen here. */
+  #epochSeenAt = -Infinity;
+  #isMalformedReported = false;
+
+  constructor(private readonly context: AdmissionContext) {
+    const { cache, clock } = context;
+    cache.onChange(({ key }) => {
+      if (key === KEY.admission) this.#epochSeenAt = clock.now();
+    });
+  }
+
+  async termsFor(job: Job): Promise<AdmissionTerms> {
+    const epoch = await this.#epochFor(job);
+    const guards: Guard[] = [this.#guard(KEY.admission)];
+    if (!epoch) return { guards, changes: [] };
+    const flow = flowOf(job);
+    const key = flowRecordKey(flow);
+    const admitted = readAdmitted(this.context.cache.get(key)?.value, epoch.overload);
+    const decision = decide(epoch, admitted, job);
+    traceDecision(job, epoch, decision);
+    if (decision.kind === 'defer') throw new SubmissionDeferred(job.id, decision.retryAfterS);
+    if (decision.kind === 'open') return { guards, changes: [] };
+    guards.push(this.#guard(key));
+    const { jobClass, team } = flow;
+    const { overload } = epoch;
+    const value = { class: jobClass, team, overload, admitted: admitted + decision.cost };
+    return { guards, changes: [{ put: key, value }] };
+  }
+
+  async allowsLookUp(): Promise<boolean> {
+    try {
+      await this.context.lookUps.take(1, 0);
+      return true;
+    } catch (error) {
+      if (error instanceof Busy) return false;
+      throw error;
+    }
+  }
+
+  async refresh(terms: AdmissionTerms, failedKeys: readonly string[]): Promise<boolean> {
+    const stale = terms.guards.map(({ key }) => key).filter((key) => failedKeys.includes(key));
+    if (stale.length === 0) return false;
+    await this.#readAgain(stale);
+    return true;
+  }
+
+  accepted({ changes }: AdmissionTerms, revision: number): void {
+    for (const change of changes) {
+      if (!('put' in change)) continue;
+      this.context.announce({ key: change.put, version: revision, value: change.value, deleted: false });
+    }
+  }
+
+  #guard(key: string): Guard {
+    return { key, version: this.context.cache.version(key) };
+  }
+
+  /** The epoch in force; undefined while there is no overload. */
+  async #epochFor(job: Job): Promise<Epoch | undefined> {
+    for (let attempt = 0; attempt <= READ_TRIES; attempt += 1) {
+      const found = readEpoch(this.context.cache, (jobClass) => jobClass === job.jobClass);
+      if (found.kind === 'none') return undefined;
+      if (found.kind === 'malformed') return this.#refuseMalformed();
+      if (found.kind === 'epoch') {
+        this.#isMalformedReported = false;
+        return this.#hasExpired(found.epochMs) ? undefined : found.epoch;
+      }
+      await this.#readAgain(found.keys);
+    }
+    throw new NoAnswer('the admission epoch is just being written', false);
+  }
+
+  #refuseMalformed(): never {
+    if (!this.#isMalformedReported) {
+      this.#isMalformedReported = true;
+      this.context.log.error(
+        { key: KEY.admission },
+        'the admission epoch cannot be read: no job is accepted',
+      );
+    }
+    throw new NoAnswer('the admission epoch cannot be read', false);
+  }
+
+  /** Nobody renews it, as admission was switched off at the leader, or by all: to defer for ever would serve nobody. */
+  #hasExpired(epochMs: number): boolean {
+    return this.context.clock.now() - this.#epochSeenAt > epochMs * EXPIRES_AFTER_EPOCHS;
+  }
+
+  async #readAgain(keys: readonly string[]): Promise<void> {
+    const { cache, store } = this.context;
+    for (const key of keys) {
+      const entry = await store.get(key);
+      if (entry) cache.offer({ ...entry, deleted: false });
+      // It was deleted, which the watch will tell of in a moment.
+      else if (cache.get(key)) throw new NoAnswer(`${key} was deleted`, false);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/entitlements.ts
@@ -0,0 +1,99 @@
+/** @file Divides capacity among classes and teams by their weights. */
+import { flowKey, type Flow } from './flow';
+
+/** Weights of classes and of teams; what isn't named has the default weight. */
+export interface Weights {
+  readonly classes: Readonly<Record<string, number>>;
+  readonly teams: Readonly<Record<string, number>>;
+}
+
+/** Weight of a class or team that has none of its own. */
+export const DEFAULT_WEIGHT = 1;
+
+/** A part that wants some of an amount. */
+export interface Claim<Key> {
+  readonly key: Key;
+  readonly weight: number;
+  /** The most that it can use; `Infinity` when it can use all. */
+  readonly want: number;
+}
+
+/** What a flow wants of the capacity that is to be divided. */
+export interface FlowClaim extends Flow {
+  readonly want: number;
+}
+
+const EPSILON = 1e-9;
+
+/**
+ * Weighted max-min fairness: an amount is divided in proportion to the weights, and what a claim can't use goes to the
+ * others (Demers, Keshav and Shenker, "Analysis and Simulation of a Fair Queueing Algorithm", 1989).
+ */
+export function divide<Key>(amount: number, claims: readonly Claim<Key>[]): Map<Key, number> {
+  const shares = new Map<Key, number>(claims.map(({ key }) => [key, 0]));
+  let open = claims.filter(({ want, weight }) => want > 0 && weight > 0);
+  let left = amount;
+  while (open.length > 0 && left > EPSILON) {
+    const totalWeight = open.reduce((sum, { weight }) => sum + weight, 0);
+    const perWeight = left / totalWeight;
+    const satisfied = open.filter(({ want, weight }) => want <= weight * perWeight);
+    if (satisfied.length === 0) {
+      for (const { key, weight } of open) shares.set(key, weight * perWeight);
+      return shares;
+    }
+    for (const { key, want } of satisfied) {
+      shares.set(key, want);
+      left -= want;
+    }
+    open = open.filter((claim) => !satisfied.includes(claim));
+  }
+  return shares;
+}
+
+/** Divides an amount among classes first, then within each class among its teams. The result is by `flowKey`. */
+export function divideAmongFlows(
+  amount: number,
+  claims: readonly FlowClaim[],
+  weights: Weights,
+): Map<string, number> {
+  const byClass = new Map<string, FlowClaim[]>();
+  for (const claim of claims) {
+    byClass.set(claim.jobClass, [...(byClass.get(claim.jobClass) ?? []), claim]);
+  }
+  const classClaims = [...byClass].map(([key, members]) => ({
+    key,
+    weight: weights.classes[key] ?? DEFAULT_WEIGHT,
+    want: members.reduce((sum, { want }) => sum + want, 0),
+  }));
+  const classShares = divide(amount, classClaims);
+  const shares = new Map<string, number>();
+  for (const [jobClass, members] of byClass) {
+    const teamClaims = members.map(({ team, want }) => ({
+      key: team,
+      weight: weights.teams[team] ?? DEFAULT_WEIGHT,
+      want,
+    }));
+    for (const [team, share] of divide(classShares.get(jobClass) ?? 0, teamClaims)) {
+      shares.set(flowKey({ jobClass, team }), share);
+    }
+  }
+  return shares;
+}
+
+/** What a deployment's settings say of a team. */
+export interface TeamGuarantee {
+  readonly name: string;
+  /** Guaranteed CPUs; 0 for none. */
+  readonly cpus: number;
+}
+
+/**
+ * The weights in force: the operator's where there are any; otherwise classes are equal and teams are weighted by their
+ * guarantees. A team without a guarantee counts like the smallest one with a guarantee, so that it isn't starved.
+ */
+export function effectiveWeights(configured: Weights, teams: readonly TeamGuarantee[]): Weights {
+  const guarantees = teams.map(({ cpus }) => cpus).filter((cpus) => cpus > 0);
+  const smallest = guarantees.length === 0 ? DEFAULT_WEIGHT : Math.min(...guarantees);
+  const derived = teams.map(({ name, cpus }) => [name, cpus > 0 ? cpus : smallest] as const);
+  return { classes: configured.classes, teams: { ...Object.fromEntries(derived), ...configured.teams } };
+}
--- /dev/null
+++ b/src/admission/epoch.ts
@@ -0,0 +1,162 @@
+/** @file Works out the next admission epoch: whether there is an overload, and what each flow may take. */
+import { divideAmongFlows, type FlowClaim, type Weights } from './entitlements';
+import { flowKey, type Flow } from './flow';
+import { drainTimeS, isOverloaded, type Load } from './overload';
+import type { AdmissionOptions } from './options';
+
+/** What a flow may take during an overload. All amounts are CPU seconds since the overload began. */
+export interface FlowGrant extends Flow {
+  /** Jobs of the flow are admitted while less than this was admitted; negative where the flow begins in debt. */
+  readonly granted: number;
+  /** How fast the grant grows, per second. */
+  readonly rate: number;
+}
+
+/** An admission epoch. All controllers decide by the same one. */
+export interface Epoch {
+  readonly number: number;
+  /** Counts overloads; amounts of another overload mean nothing. */
+  readonly overload: number;
+  readonly isOverloaded: boolean;
+  readonly weights: Weights;
+  /** What a flow without a grant of its own may take. */
+  readonly newFlowGrant: number;
+  readonly grants: readonly FlowGrant[];
+}
+
+/** What is known of a flow when an epoch is worked out. */
+export interface FlowFacts extends Flow {
+  /** CPU seconds of its accepted, unfinished work. */
+  readonly backlog: number;
+  /** CPU seconds admitted since the overload began. */
+  readonly admitted: number;
+}
+
+/** What an epoch is worked out from. */
+export interface EpochFacts {
+  readonly load: Load;
+  readonly stalledForS: number;
+  readonly flows: readonly FlowFacts[];
+  /** Seconds since the previous epoch. */
+  readonly elapsedS: number;
+}
+
+/** A flow without demand keeps the grant of so many epochs, and saves up no more. */
+const KEPT_EPOCHS = 4;
+/** The rate of grants lies between these multiples of the capacity. */
+const MIN_RATE_FACTOR = 0.25;
+const MAX_RATE_FACTOR = 4;
+/**
+ * How steeply the rate answers to the backlog. Flows in debt use none of what they are granted: when most of them are,
+ * the others, and the debts, need several times the capacity before the fleet runs idle and the overload ends too soon.
+ */
+const RATE_EXPONENT = 2;
+
+/** The epoch before any overload. */
+export function initialEpoch(weights: Weights): Epoch {
+  return { number: 0, overload: 0, isOverloaded: false, weights, newFlowGrant: 0, grants: [] };
+}
+
+/** The epoch that follows; the same object when nothing changes, so that nothing has to be written. */
+export function nextEpoch(current: Epoch, facts: EpochFacts, options: AdmissionOptions): Epoch {
+  const { load, stalledForS } = facts;
+  const isHoldingBack = facts.flows.some((flow) => isExhausted(current, flow));
+  const state = { wasOverloaded: current.isOverloaded, isHoldingBack, load, stalledForS };
+  const overloaded = isOverloaded(state, options);
+  if (!overloaded && !current.isOverloaded) return current;
+  if (!overloaded) {
+    return { ...initialEpoch(options.weights), number: current.number + 1, overload: current.overload };
+  }
+  return current.isOverloaded
+    ? continueOverload(current, facts, options)
+    : beginOverload(current, facts, options);
+}
+
+/**
+ * The rate at which work is admitted. Estimates are often wrong by half, so the backlog itself corrects the rate: it is
+ * held between the thresholds of overload.
+ */
+export function admissionRate({ load }: EpochFacts, { enterS, leaveS }: AdmissionOptions): number {
+  const targetS = (enterS + leaveS) / 2;
+  const factor = (targetS / Math.max(drainTimeS(load), 1)) ** RATE_EXPONENT;
+  const capacity = Math.max(load.capacity, 1);
+  return capacity * Math.min(MAX_RATE_FACTOR, Math.max(MIN_RATE_FACTOR, factor));
+}
+
+/** Each flow begins with what its share earns in a few epochs, less what it has taken beyond its share already. */
+function beginOverload(current: Epoch, facts: EpochFacts, options: AdmissionOptions): Epoch {
+  const { weights } = options;
+  const rates = flowRates(facts, options, weights);
+  const total = facts.flows.reduce((sum, { backlog }) => sum + backlog, 0);
+  const claims = facts.flows.map(({ jobClass, team, backlog }) => ({ jobClass, team, want: backlog }));
+  const targetShare = options.leaveS / Math.max(drainTimeS(facts.load), options.leaveS);
+  const fairBacklogs = divideAmongFlows(total * targetShare, claims, weights);
+  const grants = facts.flows.map(({ jobClass, team, backlog }) => {
+    const key = flowKey({ jobClass, team });
+    const rate = rates.get(key) ?? 0;
+    const excess = Math.max(0, backlog - (fairBacklogs.get(key) ?? 0));
+    return { jobClass, team, granted: rate * options.epochS * KEPT_EPOCHS - excess, rate };
+  });
+  return epochOf(current, { overload: current.overload + 1, weights, grants, rates, epochS: options.epochS });
+}
+
+function continueOverload(current: Epoch, facts: EpochFacts, options: AdmissionOptions): Epoch {
+  // Weights change with the next overload only: nobody's debt is worked out by two measures.
+  const { weights } = current;
+  const rates = flowRates(facts, options, weights);
+  const kept = (key: string): number => (rates.get(key) ?? 0) * options.epochS * KEPT_EPOCHS;
+  const states = facts.flows.map((flow) => {
+    const granted = grantedTo(current, flow);
+    return { ...flow, key: flowKey(flow), granted, isExhausted: flow.admitted >= granted };
+  });
+  const claims: FlowClaim[] = states.map(({ jobClass, team, key, granted, admitted, isExhausted }) => ({
+    jobClass,
+    team,
+    want: isExhausted ? Infinity : Math.max(0, kept(key) - (granted - admitted)),
+  }));
+  const amount = admissionRate(facts, options) * facts.elapsedS;
+  const shares = divideAmongFlows(amount, claims, weights);
+  const grants = states.map(({ jobClass, team, key, granted, admitted, isExhausted }) => {
+    const usable = isExhausted ? granted : Math.min(granted, admitted + kept(key));
+    return { jobClass, team, granted: usable + (shares.get(key) ?? 0), rate: rates.get(key) ?? 0 };
+  });
+  return epochOf(current, { overload: current.overload, weights, grants, rates, epochS: options.epochS });
+}
+
+/** What a flow may take in an epoch. */
+export function grantedTo(epoch: Epoch, flow: Flow): number {
+  const key = flowKey(flow);
+  return epoch.grants.find((grant) => flowKey(grant) === key)?.granted ?? epoch.newFlowGrant;
+}
+
+function isExhausted(epoch: Epoch, flow: FlowFacts): boolean {
+  return epoch.isOverloaded && flow.admitted >= grantedTo(epoch, flow);
+}
+
+/** What each flow would be granted a second if all of them had unlimited demand. */
+function flowRates(facts: EpochFacts, options: AdmissionOptions, weights: Weights): Map<string, number> {
+  const claims = facts.flows.map(({ jobClass, team }) => ({ jobClass, team, want: Infinity }));
+  return divideAmongFlows(admissionRate(facts, options), claims, weights);
+}
+
+function epochOf(
+  current: Epoch,
+  next: {
+    overload: number;
+    weights: Weights;
+    grants: readonly FlowGrant[];
+    rates: ReadonlyMap<string, number>;
+    epochS: number;
+  },
+): Epoch {
+  const { overload, weights, grants, rates, epochS } = next;
+  const smallestRate = rates.size === 0 ? 1 : Math.min(...rates.values());
+  return {
+    number: current.number + 1,
+    overload,
+    isOverloaded: true,
+    weights,
+    newFlowGrant: smallestRate * epochS * KEPT_EPOCHS,
+    grants,
+  };
+}
--- /dev/null
+++ b/src/admission/options.ts
@@ -0,0 +1,89 @@
+/** @file The operators' settings of admission: the table `[admission]` of their options file. */
+import * as z from 'zod';
+import { SettingsError, type Settings } from '../base/settings';
+import { effectiveWeights, type TeamGuarantee, type Weights } from './entitlements';
+
+const weight = z.number().positive().max(1e6);
+
+/** The table as it may stand in the options file; a file without it leaves admission off. */
+export const admissionSchema = z.strictObject({
+  enabled: z.boolean(),
+  /** Overload begins when the accepted work would keep the present fleet busy for longer than this. */
+  enter_s: z.number().positive().default(180),
+  /** Overload ends when it would keep the fleet busy for less than this. */
+  leave_s: z.number().positive().default(60),
+  /** A fleet that hasn't grown for this long counts as being as large as it can be. */
+  stalled_s: z.number().positive().default(20),
+  /** Time between two epochs of an overload. */
+  epoch_s: z.number().min(1).max(15).default(5),
+  /** Writes spans of submissions to the log. */
+  trace: z.boolean().default(false),
+  class_weights: z.record(z.string(), weight).default({}),
+  team_weights: z.record(z.string(), weight).default({}),
+});
+
+/** The checked table. */
+export type AdmissionTable = z.infer<typeof admissionSchema>;
+
+/** What admission goes by. */
+export interface AdmissionOptions {
+  readonly enterS: number;
+  readonly leaveS: number;
+  readonly stalledS: number;
+  readonly epochS: number;
+  /** Spans of submissions are written to the log. */
+  readonly isTraced: boolean;
+  readonly weights: Weights;
+}
+
+/** Reads and checks the table; undefined when admission is off. Throws `SettingsError` with the file and the key. */
+export function readAdmissionOptions({
+  operator,
+  operatorFile,
+  platform,
+}: Settings): AdmissionOptions | undefined {
+  if (operator.admission === undefined) return undefined;
+  const parsed = admissionSchema.safeParse(operator.admission);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const path = ['admission', ...(issue?.path ?? [])].join('.');
+    throw new SettingsError(`${operatorFile}: ${path}: ${issue?.message ?? 'invalid'}`);
+  }
+  const { objectives, teams } = platform.deployment;
+  const classes = objectives.map((objective) => objective.class);
+  const problem =
+    thresholdProblem(parsed.data) ??
+    unknownName('class_weights', parsed.data, classes) ??
+    unknownName(
+      'team_weights',
+      parsed.data,
+      teams.map(({ name }) => name),
+    );
+  if (problem !== undefined) throw new SettingsError(`${operatorFile}: admission.${problem}`);
+  return parsed.data.enabled ? toOptions(parsed.data, teams) : undefined;
+}
+
+function thresholdProblem({ enter_s, leave_s }: AdmissionTable): string | undefined {
+  return leave_s < enter_s ? undefined : 'leave_s: must be smaller than enter_s';
+}
+
+function unknownName(
+  field: 'class_weights' | 'team_weights',
+  table: AdmissionTable,
+  known: readonly (string | undefined)[],
+): string | undefined {
+  const unknown = Object.keys(table[field]).find((name) => !known.includes(name));
+  return unknown === undefined ? undefined : `${field}.${unknown}: the settings name no such class or team`;
+}
+
+function toOptions(table: AdmissionTable, teams: readonly TeamGuarantee[]): AdmissionOptions {
+  const configured = { classes: table.class_weights, teams: table.team_weights };
+  return {
+    enterS: table.enter_s,
+    leaveS: table.leave_s,
+    stalledS: table.stalled_s,
+    epochS: table.epoch_s,
+    isTraced: table.trace,
+    weights: effectiveWeights(configured, teams),
+  };
+}
--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -77,6 +77,8 @@
   aged_s: seconds.default(100),
   aged_share: z.number().min(0).max(1).default(0.2),
   rent_patience: z.number().min(0).default(2),
+  /** Checked by the package that it belongs to, `src/admission`. */
+  admission: z.unknown().optional(),
 });
 
 type PlatformFile = z.infer<typeof platformSchema>;
@@ -90,6 +92,8 @@
   /** As the platform handed it over, except that `deployment.state` has the limits in force. */
   platform: PlatformSettings;
   operator: OperatorSettings;
+  /** The operator's file, for messages. */
+  operatorFile: string;
   /** Longest time that a controller may act on a block without news from the state service. */
   blockLeaseMs: number;
   /**
@@ -224,6 +228,7 @@
       deployment: { ...checked.deployment, state: limitsInForce(state, next?.limits) },
     },
     operator: options,
+    operatorFile,
     blockLeaseMs,
     cancelDoubtMs: (workers.cancel_s - workers.lease_s) * 1000 - hearingMs - TURN_MARGIN_MS,
     sockets: chooseSockets(checked, platformFile),
--- a/src/bookkeeping/format-gate.ts
+++ b/src/bookkeeping/format-gate.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { StateStore } from '../protocol/state';
-import { KEY, read, RECORD_FORMAT } from './records';
+import { FORMAT, KEY, read, RECORD_FORMAT } from './records';
 import type { WatchCache } from './watch-cache';
 
 const CHECK_MS = 1_000;
@@ -23,11 +23,12 @@
 
 /**
  * Decides when records that the previous version can't read may be written. Every controller leaves a durable mark of
- * the record format that it understands; the gate is open once the marks of all controllers named in the settings are
- * there. Marks are never deleted and no lease holds them, so an open gate stays open, whoever restarts.
+ * the newest record format that it understands; the gate is open for a format once the marks of all controllers named in
+ * the settings say that or a newer one. Marks are never deleted and no lease holds them, so an open gate stays open,
+ * whoever restarts.
  */
 export class FormatGate {
-  #isOpen = false;
+  readonly #openFor = new Set<number>();
   #isMarked = false;
   #isReported = false;
   #reportedAt = -Infinity;
@@ -45,7 +46,7 @@
   #report(): void {
     if (this.#isReported || !this.context.cache.loaded) return;
     const now = this.context.clock.now();
-    if (this.isOpen) {
+    if (this.isOpenFor(RECORD_FORMAT)) {
       this.#isReported = true;
       this.context.log.info({ format: RECORD_FORMAT }, 'all controllers understand the record format');
     } else if (now - this.#reportedAt >= REPORT_MS) {
@@ -57,27 +58,34 @@
     }
   }
 
-  /** Whether every controller understands the present format, as far as this node's copy of the records tells. */
+  /** Whether every controller understands dependencies and records in parts. */
   get isOpen(): boolean {
-    this.#isOpen ||= this.missing().length === 0;
-    return this.#isOpen;
+    return this.isOpenFor(FORMAT.dependencies);
   }
 
-  /** Controllers that have not shown that they understand the present format. */
-  missing(): string[] {
+  /** Whether every controller understands a format, as far as this node's copy of the records tells. */
+  isOpenFor(format: number): boolean {
+    if (this.#openFor.has(format)) return true;
+    if (this.missing(format).length > 0) return false;
+    this.#openFor.add(format);
+    return true;
+  }
+
+  /** Controllers that have not shown that they understand a format. */
+  missing(format: number = RECORD_FORMAT): string[] {
     return this.context.controllers.filter(
-      (name) => !understands(this.context.cache.get(KEY.format(name))?.value),
+      (name) => !understands(this.context.cache.get(KEY.format(name))?.value, format),
     );
   }
 
-  /** The same by the state service's word: the copy may lag behind a mark that was written a moment ago. */
+  /** Like `isOpen`, by the state service's word: the copy may lag behind a mark that was written a moment ago. */
   async confirmOpen(): Promise<boolean> {
     if (this.isOpen) return true;
-    for (const name of this.missing()) {
+    for (const name of this.missing(FORMAT.dependencies)) {
       const entry = await this.context.store.get(KEY.format(name));
-      if (!understands(entry?.value)) return false;
+      if (!understands(entry?.value, FORMAT.dependencies)) return false;
     }
-    this.#isOpen = true;
+    this.#openFor.add(FORMAT.dependencies);
     return true;
   }
 
@@ -85,7 +93,7 @@
   async mark(): Promise<boolean> {
     const key = KEY.format(this.context.node);
     const entry = await this.context.store.get(key);
-    if (understands(entry?.value)) return true;
+    if (understands(entry?.value, RECORD_FORMAT)) return true;
     // Guarded, so that a write carried out late can't replace the mark of a newer version.
     const result = await this.context.store.txn(
       [{ key, version: entry?.version ?? 0 }],
@@ -96,6 +104,6 @@
   }
 }
 
-function understands(value: unknown): boolean {
-  return (read.format(value)?.format ?? 0) >= RECORD_FORMAT;
+function understands(value: unknown, format: number): boolean {
+  return (read.format(value)?.format ?? 0) >= format;
 }
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -1,8 +1,9 @@
 /** @file Acceptance, questions and cancellation of jobs, against the state service. */
 import type { Clock } from '../base/clock';
 import type { FinalState, Job, JobStatus } from '../protocol/model';
-import type { Entry, Event, StateStore, TxnResult } from '../protocol/state';
+import type { Entry, Event, Guard, StateStore, TxnResult } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
+import { SubmissionDeferred, type AdmissionPolicy, type AdmissionTerms } from './admission-policy';
 import { prepareJobRecord, type RecordLimits } from './dependency-records';
 import type { DependencyTracker } from './dependency-tracker';
 import type { FinalStates } from './final-states';
@@ -13,6 +14,9 @@
 /** How many dependencies of a submission are looked up at the same time. */
 const CHECKS_AT_ONCE = 8;
 
+/** How often an acceptance is tried again because its admission terms had changed. */
+const ADMISSION_TRIES = 5;
+
 /** A submission names a job that was never accepted, or itself. */
 export class UnknownDependency extends Error {
   override name = 'UnknownDependency';
@@ -30,6 +34,7 @@
   readonly dependencies: DependencyTracker;
   readonly formatGate: FormatGate;
   readonly limits: RecordLimits;
+  readonly admission: AdmissionPolicy;
   /** Brings a change that the state service has told us of into this node's view, and tells the other nodes. */
   announce(event: Event): void;
 }
@@ -114,31 +119,64 @@
       if (status) return { isNew: false, status };
       throw error;
     }
-    const { store, clock, limits } = this.context;
-    const { record, guards } = await prepareJobRecord(checked, clock.date().getTime(), store, limits);
-    const result = await this.#write(record, guards);
-    if (result?.ok) {
-      this.context.announce({
-        key: KEY.job(job.id),
-        version: result.revision,
-        value: record,
-        deleted: false,
-      });
-      return { isNew: true, status: await this.#statusOfAccepted(checked) };
+    try {
+      if (await this.#writeAdmitted(job, checked)) {
+        return { isNew: true, status: await this.#statusOfAccepted(checked) };
+      }
+    } catch (error) {
+      const status = error instanceof SubmissionDeferred ? await this.#findAccepted(job.id) : undefined;
+      if (status) return { isNew: false, status };
+      throw error;
     }
     const status = await this.find(job.id);
     if (status) return { isNew: false, status };
     throw new NoAnswer('a submission was not confirmed', true);
   }
 
+  /** An accepted job is never deferred later. Undefined: it wasn't accepted, or that can't be asked now. */
+  async #findAccepted(id: string): Promise<JobStatus | undefined> {
+    const isLive = this.context.cache.get(KEY.job(id)) !== undefined;
+    return isLive || (await this.context.admission.allowsLookUp()) ? this.find(id) : undefined;
+  }
+
+  /**
+   * Writes the record of a job if it is admitted. `job` is the job as its user described it, `checked` the one to be
+   * stored. False: it may have been accepted before, or no answer came.
+   */
+  async #writeAdmitted(job: Job, checked: Job): Promise<boolean> {
+    const { store, clock, limits, admission } = this.context;
+    let terms = await admission.termsFor(job);
+    const { record, guards } = await prepareJobRecord(checked, clock.date().getTime(), store, limits);
+    for (let attempt = 1; attempt <= ADMISSION_TRIES; attempt += 1) {
+      const result = await this.#write(record, guards, terms);
+      if (result?.ok) {
+        this.#announceAccepted(record, result.revision);
+        admission.accepted(terms, result.revision);
+        return true;
+      }
+      if (!result || !(await admission.refresh(terms, result.failed))) return false;
+      terms = await admission.termsFor(job);
+    }
+    return false;
+  }
+
+  #announceAccepted(record: JobRecord, version: number): void {
+    this.context.announce({ key: KEY.job(record.job.id), version, value: record, deleted: false });
+  }
+
   async #write(
     record: JobRecord,
-    partGuards: { key: string; version: number }[],
+    partGuards: readonly Guard[],
+    terms: AdmissionTerms,
   ): Promise<TxnResult | undefined> {
     const key = KEY.job(record.job.id);
-    const guards = [{ key, version: 0 }, { key: KEY.final(record.job.id), version: 0 }, ...partGuards];
+    const unaccepted = [
+      { key, version: 0 },
+      { key: KEY.final(record.job.id), version: 0 },
+    ];
+    const guards = [...unaccepted, ...partGuards, ...terms.guards];
     try {
-      return await this.context.store.txn(guards, [{ put: key, value: record }]);
+      return await this.context.store.txn(guards, [{ put: key, value: record }, ...terms.changes]);
     } catch (error) {
       if (!(error instanceof NoAnswer)) throw error;
       // It may have been written: read it back. If it is written later still, the user's retry finds it.
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -6,11 +6,15 @@
  * final states lie apart and are read when asked for, so that what a node holds stays small.
  */
 export const LIVE = 'live/';
-/**
- * The format that this version writes and understands. Format 1, which left no mark, knows neither dependencies nor
- * completions in small parts (docs/UPGRADE.md).
- */
-export const RECORD_FORMAT = 2;
+/** Record formats by what they brought (docs/UPGRADE.md). Format 1 left no mark and knows none of it. */
+export const FORMAT = {
+  /** Dependencies among jobs, and completions and machine types in small parts. */
+  dependencies: 2,
+  /** Admission epochs, which every acceptance has to be guarded on. */
+  admission: 3,
+} as const;
+/** The newest format that this version writes and understands. */
+export const RECORD_FORMAT = FORMAT.admission;
 export const KEY = {
   leader: 'live/leader',
   baton: 'live/baton',
@@ -33,6 +37,12 @@
    * and stays as the stored key.
    */
   relay: (block: number, node: string) => `live/keep/${block}/${node}`,
+  /** The admission epoch. */
+  admission: 'live/admission',
+  /** What the teams of a class are granted in the epoch; `name` is derived from the class. */
+  admissionClass: (name: string) => `live/admission-class/${name}`,
+  /** What a flow was admitted; `name` is derived from its class and team. */
+  admissionFlow: (name: string) => `live/admission-flow/${name}`,
   final: (id: string) => `final/${id}`,
 };
 export const PREFIX = {
@@ -44,6 +54,8 @@
   bits: 'live/bits/',
   typesPart: 'live/types-part/',
   relay: 'live/keep/',
+  admissionClass: 'live/admission-class/',
+  admissionFlow: 'live/admission-flow/',
 };
 
 const count = z.int().min(0);
@@ -107,6 +119,37 @@
   types: z.array(machineType),
 });
 
+const weights = z.record(z.string(), z.number().positive());
+const admissionRecord = z.object({
+  epoch: z.int().min(1),
+  /** Counts overloads. */
+  overload: count,
+  isOverloaded: z.boolean(),
+  /** Time between two epochs of an overload. */
+  epochMs: z.number().positive(),
+  weights: z.object({ classes: weights, teams: weights }),
+  /** CPU seconds that a flow without a grant of its own may take. */
+  newFlowGrant: z.number(),
+  /** Classes whose grants are part of the epoch, each in a record of its own. */
+  classes: z.array(z.string()),
+});
+const admissionClassRecord = z.object({
+  class: z.string(),
+  /** The epoch that the grants belong to. */
+  epoch: z.int().min(1),
+  teams: z.array(z.object({ team: z.string(), granted: z.number(), rate: z.number().min(0) })),
+});
+const admissionFlowRecord = z.object({
+  class: z.string(),
+  team: z.string(),
+  overload: count,
+  /** CPU seconds admitted since that overload began. */
+  admitted: z.number().min(0),
+});
+
+export type AdmissionRecord = z.infer<typeof admissionRecord>;
+export type AdmissionClassRecord = z.infer<typeof admissionClassRecord>;
+export type AdmissionFlowRecord = z.infer<typeof admissionFlowRecord>;
 export type NodeRecord = z.infer<typeof nodeRecord>;
 export type BlockRecord = z.infer<typeof blockRecord>;
 export type LeaseRecord = z.infer<typeof leaseRecord>;
@@ -136,4 +179,7 @@
   job: reader(jobRecord),
   types: reader(typesRecord),
   typesPart: reader(typesPartRecord),
+  admission: reader(admissionRecord),
+  admissionClass: reader(admissionClassRecord),
+  admissionFlow: reader(admissionFlowRecord),
 };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -117,13 +117,13 @@
    * The guard that proves, inside a transaction, that this node still leads; undefined when it knows that it doesn't.
    * Between two writes of one step another may have become the leader, and its record's version would prove nothing.
    */
-  #leadership(): Guard | undefined {
+  leadership(): Guard | undefined {
     return this.isLeader ? { key: KEY.leader, version: this.deps.cache.version(KEY.leader) } : undefined;
   }
 
   async #give(block: number, owner: string): Promise<boolean> {
     const { cache, store, settings, log } = this.deps;
-    const leadership = this.#leadership();
+    const leadership = this.leadership();
     if (!leadership) return false;
     const { teams } = settings.platform.deployment;
     const blocks = blockCount(cache, settings);
@@ -153,7 +153,7 @@
       .filter((m) => m.state !== 'failed' && m.ageS > STRAY_AGE_S && !cache.get(KEY.machine(m.id)))
       .filter((m) => !this.cloud.isGone(m.id))
       .slice(0, changesAtOnce(settings.platform.deployment.state, STRAYS_AT_ONCE));
-    const leadership = this.#leadership();
+    const leadership = this.leadership();
     if (strays.length === 0 || !leadership) return;
     const machinesOf = new Map<number, number>();
     for (let block = 0; block < blockCount(cache, settings); block += 1) machinesOf.set(block, 0);
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,3 +1,6 @@
+import { AdmissionControl } from '../admission/admission-control';
+import { EpochWriter } from '../admission/epoch-writer';
+import { readAdmissionOptions } from '../admission/options';
 import { Wake, type Clock } from '../base/clock';
 import { EventLoopDelay } from '../base/event-loop-delay';
 import type { Log } from '../base/log';
@@ -6,6 +9,7 @@
 import type { Settings } from '../base/settings';
 import { changesAtOnce, valueBytes } from '../base/state-limits';
 import { blockCount } from '../bookkeeping/block-count';
+import { OPEN_ADMISSION } from '../bookkeeping/admission-policy';
 import { isCompletionKey } from '../bookkeeping/completion-records';
 import { FormatGate } from '../bookkeeping/format-gate';
 import { DependencyTracker } from '../bookkeeping/dependency-tracker';
@@ -52,6 +56,8 @@
 const CLOUD_TIMEOUT_MS = 5_000;
 /** This node's part of the limits that all nodes share: one may take more than its share, for others take less. */
 const RATE_PART = 0.6;
+/** Part of the limit on requests for questions whether a deferred job was accepted; each takes up to two requests. */
+const LOOK_UP_PART = 0.05;
 const CLOUD_RATE_PART = 0.7;
 const WATCHES_PER_LEASE = 5;
 const LEADER_PAUSE_MS = 1_000;
@@ -65,9 +71,18 @@
 const PEER_MEMORY_MS = 3_500;
 /** How long the answer to a cancellation may wait for the records of jobs that need the cancelled one. */
 const CANCEL_DEPENDENTS_MS = 1_000;
+const QUIET_PREFIXES = [
+  PREFIX.machine,
+  PREFIX.dependencyPart,
+  PREFIX.admissionClass,
+  PREFIX.admissionFlow,
+] as const;
+
 /** Records whose changes concern neither the leader nor the taking of blocks. */
 function isQuietKey(key: string): boolean {
-  return isCompletionKey(key) || key.startsWith(PREFIX.machine) || key.startsWith(PREFIX.dependencyPart);
+  return (
+    isCompletionKey(key) || key === KEY.admission || QUIET_PREFIXES.some((prefix) => key.startsWith(prefix))
+  );
 }
 
 export type ReportAnswer = OwnAnswer | { kind: 'elsewhere'; owner: string | undefined };
@@ -79,6 +94,7 @@
   readonly #cache: WatchCache;
   readonly #session: Session;
   readonly #leader: Leader;
+  readonly #epochWriter: EpochWriter;
   readonly #cloudView: CloudView;
   readonly #leaseExtension: LeaseExtension;
   readonly #reachability: PeerReachability;
@@ -140,7 +156,15 @@
     const dependencies = new DependencyTracker(this.#cache, finals, clock);
     const records = { store: stateStore, cache: this.#cache, clock, dependencies, announce };
     const limits = { valueBytes: valueBytes(state), changes: changesAtOnce(state) };
-    this.jobs = new JobStore({ ...records, finals, formatGate, limits });
+    const admission = readAdmissionOptions(settings);
+    const lookUps = new RateLimit(clock, state.rps * LOOK_UP_PART, state.rps * LOOK_UP_PART);
+    this.jobs = new JobStore({
+      ...records,
+      finals,
+      formatGate,
+      limits,
+      admission: admission ? new AdmissionControl({ ...records, log, lookUps }) : OPEN_ADMISSION,
+    });
     this.#dependentCancellation = new DependentCancellation({
       ...records,
       jobs: this.jobs,
@@ -161,6 +185,20 @@
     };
     this.#cloudView = new CloudView(cloudApi, clock);
     this.#leader = new Leader(this.#deps, this.#cloudView, () => !this.#leaseExtension.mayAcquireBlocks);
+    this.#epochWriter = new EpochWriter(
+      {
+        ...records,
+        log,
+        formatGate,
+        changes: changesAtOnce(state),
+        types: () => this.#types,
+        progressOf: (id) => this.#progress.get(id),
+        waitsForJobs: (id) => dependencies.graph.has(id) && !dependencies.isReady(id),
+        teamLimit: (team) => platform.deployment.teams.find(({ name }) => name === team)?.cpus_max ?? 0,
+        leadership: () => this.#leader.leadership(),
+      },
+      admission,
+    );
     this.#leaseExtension = new LeaseExtension(
       this.#deps,
       (message) => {
@@ -206,6 +244,7 @@
     loop('cloud list', () => this.#listCloud(signal), 3_000);
     loop('dependencies', () => this.#deps.dependencies.step());
     loop('dependents of cancelled jobs', () => this.#dependentCancellation.step(() => this.#leader.isLeader));
+    loop('admission', () => this.#epochWriter.step(signal));
     loop('progress', async () => {
       await clock.sleep(PROGRESS_MS, signal);
       this.#shareProgress();
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -1,5 +1,7 @@
+import { traceSubmission } from '../admission/tracing';
 import { describe } from '../base/loop';
 import type { Log } from '../base/log';
+import { SubmissionDeferred } from '../bookkeeping/admission-policy';
 import { UnknownDependency } from '../bookkeeping/job-store';
 import type { Job, MachineType } from '../protocol/model';
 import { JOB_ID, readSubmission, typeAllows, writeStanding, writeStatus } from '../protocol/users';
@@ -36,6 +38,9 @@
   const { teams } = node.settings.platform.deployment;
   const undecided = (error?: unknown): HttpReply => {
     if (error instanceof UnknownDependency) return refused(422, error.message);
+    if (error instanceof SubmissionDeferred) {
+      return { status: 503, body: { error: 'deferred' }, retryAfterS: error.retryAfterS };
+    }
     if (error !== undefined) log.debug({ err: describe(error) }, 'a request could not be decided');
     return { status: 503, body: { error: 'not now' }, retryAfterS: RETRY_AFTER_S };
   };
@@ -76,7 +81,7 @@
         if (node.types.length === 0 || !node.eventLoopDelay.allowsSubmissions) return undecided();
         const never = whyNever(job, node.types, teams);
         if (never !== undefined) return knownOr(job.id, refused(422, never));
-        const { isNew, status } = await node.jobs.accept(job);
+        const { isNew, status } = await traceSubmission(job, () => node.jobs.accept(job));
         if (!isNew) return { status: 200, body: writeStatus(node.withProgress(status)) };
         log.info({ job: job.id, jobClass: job.jobClass, team: job.team, tasks: job.tasks }, 'job accepted');
         return { status: 201, body: writeStanding(job.id, status.state) };
--- /dev/null
+++ b/test/admission-decisions.test.ts
@@ -0,0 +1,223 @@
+/** @file Admission: how capacity is divided, when there is an overload, and what a job is told. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decide } from '../src/admission/decision';
+import { divide, divideAmongFlows, effectiveWeights } from '../src/admission/entitlements';
+import { initialEpoch, nextEpoch, type Epoch, type FlowFacts } from '../src/admission/epoch';
+import { flowKey } from '../src/admission/flow';
+import { GrowthWatch, isOverloaded } from '../src/admission/overload';
+import type { AdmissionOptions } from '../src/admission/options';
+import type { Job } from '../src/protocol/model';
+
+const EQUAL = { classes: {}, teams: {} };
+const OPTIONS: AdmissionOptions = {
+  ...{ enterS: 100, leaveS: 50, stalledS: 20, epochS: 5, isTraced: false },
+  weights: EQUAL,
+};
+const CAPACITY = 100;
+
+const jobOf = (id: string, jobClass: string, team: string, tasks = 1, estimateS = 10): Job => ({
+  ...{
+    id,
+    jobClass,
+    team,
+    tasks,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    priority: 'normal',
+    types: null,
+    zone: null,
+  },
+  ...{ oneZone: false, spread: false, spot: true, image: 'img', imageGb: 1, estimateS, checkpointS: 0 },
+  ...{ saveS: 0, deadlineS: null },
+});
+
+const flow = (jobClass: string, team: string, backlog: number, admitted = 0): FlowFacts => {
+  return { jobClass, team, backlog, admitted };
+};
+
+const facts = (drainS: number, flows: FlowFacts[], stalledForS = 30, elapsedS = 5) => {
+  return { load: { backlog: drainS * CAPACITY, capacity: CAPACITY }, flows, stalledForS, elapsedS };
+};
+
+const grantOf = (epoch: Epoch, jobClass: string, team: string): number => {
+  const found = epoch.grants.find((grant) => flowKey(grant) === flowKey({ jobClass, team }));
+  assert.ok(found);
+  return found.granted;
+};
+
+test('what one claim cannot use goes to the others by weight, and no more than the amount is given', () => {
+  const claims = [
+    { key: 'a', weight: 1, want: 2 },
+    { key: 'b', weight: 1, want: Infinity },
+    { key: 'c', weight: 2, want: Infinity },
+    { key: 'd', weight: 5, want: 0 },
+  ];
+  assert.deepEqual(
+    [...divide(11, claims)],
+    [
+      ['a', 2],
+      ['b', 3],
+      ['c', 6],
+      ['d', 0],
+    ],
+  );
+  assert.deepEqual([...divide(0, claims).values()], [0, 0, 0, 0]);
+  assert.deepEqual([...divide(100, claims.slice(0, 1)).values()], [2]);
+});
+
+test('classes come first: a class does not get more for having more teams', () => {
+  const claims = ['a', 'b', 'c', 'd'].map((team) => ({ jobClass: 'wide', team, want: Infinity }));
+  const shares = divideAmongFlows(80, [...claims, { jobClass: 'narrow', team: 'a', want: Infinity }], EQUAL);
+  assert.equal(shares.get(flowKey({ jobClass: 'narrow', team: 'a' })), 40);
+  for (const { team } of claims) assert.equal(shares.get(flowKey({ jobClass: 'wide', team })), 10);
+});
+
+test('teams weigh as much as they are guaranteed, those without a guarantee as much as the smallest', () => {
+  const teams = [
+    { name: 'large', cpus: 300 },
+    { name: 'small', cpus: 100 },
+    { name: 'none', cpus: 0 },
+  ];
+  assert.deepEqual(effectiveWeights(EQUAL, teams).teams, { large: 300, small: 100, none: 100 });
+  const configured = { classes: { photo: 2 }, teams: { none: 7 } };
+  assert.deepEqual(effectiveWeights(configured, teams), {
+    classes: { photo: 2 },
+    teams: { large: 300, small: 100, none: 7 },
+  });
+});
+
+test('an overload begins with a long backlog on a fleet that no longer grows, and ends at a shorter one', () => {
+  const state = (wasOverloaded: boolean, drainS: number, stalledForS = 20, isHoldingBack = false) => {
+    return {
+      wasOverloaded,
+      isHoldingBack,
+      load: { backlog: drainS * CAPACITY, capacity: CAPACITY },
+      stalledForS,
+    };
+  };
+  assert.equal(isOverloaded(state(false, 101), OPTIONS), true);
+  assert.equal(isOverloaded(state(false, 101, 19), OPTIONS), false, 'machines are still on their way');
+  assert.equal(isOverloaded(state(false, 99), OPTIONS), false);
+  assert.equal(isOverloaded(state(true, 51, 0), OPTIONS), true);
+  assert.equal(isOverloaded(state(true, 49, 0), OPTIONS), false);
+  assert.equal(isOverloaded(state(true, 49, 0, true), OPTIONS), true, 'jobs are held back');
+  assert.equal(isOverloaded(state(true, 12, 0, true), OPTIONS), false);
+  const noMachine = { ...state(false, 0), load: { backlog: 500, capacity: 0 } };
+  assert.equal(isOverloaded(noMachine, OPTIONS), true);
+});
+
+test('a fleet that grows by little, or shrinks, counts as not growing', () => {
+  const growth = new GrowthWatch();
+  assert.equal(growth.stalledForS(0), 0);
+  growth.observe(100, 0);
+  growth.observe(104, 5_000);
+  assert.equal(growth.stalledForS(10_000), 10);
+  growth.observe(106, 12_000);
+  assert.equal(growth.stalledForS(20_000), 8);
+  growth.observe(50, 21_000);
+  assert.equal(growth.stalledForS(22_000), 10);
+});
+
+test('without an overload no epoch is written and no job is counted', () => {
+  const epoch = initialEpoch(EQUAL);
+  assert.equal(nextEpoch(epoch, facts(10, [flow('a', 'x', 1000)]), OPTIONS), epoch);
+  assert.deepEqual(decide(epoch, 1e9, jobOf('req-1', 'a', 'x')), { kind: 'open' });
+});
+
+test('a flow that took more than its share begins in debt, a small one is admitted at once', () => {
+  const flows = [flow('a', 'flood', 19_000), flow('a', 'small', 100), flow('b', 'other', 900)];
+  const epoch = nextEpoch(initialEpoch(EQUAL), facts(200, flows), OPTIONS);
+  assert.equal(epoch.isOverloaded, true);
+  assert.equal(epoch.overload, 1);
+  assert.ok(grantOf(epoch, 'a', 'flood') < 0);
+  assert.equal(decide(epoch, 0, jobOf('req-1', 'a', 'flood')).kind, 'defer');
+  assert.equal(decide(epoch, 0, jobOf('req-1', 'a', 'small')).kind, 'admit');
+  assert.equal(decide(epoch, 0, jobOf('req-1', 'b', 'other')).kind, 'admit');
+  assert.equal(decide(epoch, 0, jobOf('req-1', 'new class', 'new')).kind, 'admit');
+});
+
+test('a job of any size is admitted while its flow has credit, and its overdraft is repaid before the next', () => {
+  const flows = [flow('a', 'x', 1), flow('b', 'y', 1)];
+  let epoch = nextEpoch(initialEpoch(EQUAL), facts(101, flows), OPTIONS);
+  const huge = jobOf('req-1', 'a', 'x', 100_000);
+  assert.deepEqual(decide(epoch, 0, huge), { kind: 'admit', cost: 1_000_000 });
+  const admitted = 1_000_000;
+  assert.equal(decide(epoch, admitted, jobOf('req-2', 'a', 'x')).kind, 'defer');
+  let epochs = 0;
+  while (decide(epoch, admitted, jobOf('req-2', 'a', 'x')).kind === 'defer') {
+    epoch = nextEpoch(
+      epoch,
+      facts(75, [flow('a', 'x', 1, admitted), flow('b', 'y', 1, grantOf(epoch, 'b', 'y'))]),
+      OPTIONS,
+    );
+    epochs += 1;
+    assert.ok(epochs < 10_000);
+  }
+  // Half of the capacity, 50 a second, for as long as both have demand.
+  assert.ok(Math.abs(epochs * 5 - 1_000_000 / 50) < 100, `${epochs * 5} s`);
+});
+
+test('a flow without demand leaves its share to the others and saves up no more than four epochs', () => {
+  let epoch = nextEpoch(initialEpoch(EQUAL), facts(101, [flow('a', 'x', 1), flow('b', 'y', 1)]), OPTIONS);
+  let admitted = 0;
+  const from = grantOf(epoch, 'a', 'x');
+  for (let round = 0; round < 20; round += 1) {
+    admitted = Math.max(admitted, grantOf(epoch, 'a', 'x'));
+    epoch = nextEpoch(epoch, facts(75, [flow('a', 'x', 1, admitted), flow('b', 'y', 0, 0)]), OPTIONS);
+    assert.ok(grantOf(epoch, 'b', 'y') <= 50 * 5 * 4 + 1);
+  }
+  // All of the 100 a second but for what keeps the other's credit filled.
+  assert.ok(grantOf(epoch, 'a', 'x') - from >= 20 * 5 * 100 * 0.95);
+});
+
+test('the rate follows the backlog, so that estimates that are wrong by half do not end in a standstill', () => {
+  const flows = [flow('a', 'x', 1, 1e9)];
+  const epoch = nextEpoch(initialEpoch(EQUAL), facts(101, flows), OPTIONS);
+  const growth = (drainS: number): number => {
+    const next = nextEpoch(epoch, facts(drainS, flows), OPTIONS);
+    return grantOf(next, 'a', 'x') - grantOf(epoch, 'a', 'x');
+  };
+  assert.ok(growth(150) < growth(75));
+  assert.ok(growth(75) < growth(51));
+  assert.ok(growth(100_000) >= 0.25 * CAPACITY * 5 - 1e-6, 'never none');
+});
+
+test('weights change with the next overload only, and amounts of one overload mean nothing in another', () => {
+  const flows = [flow('a', 'x', 1), flow('b', 'y', 1)];
+  const first = nextEpoch(initialEpoch(EQUAL), facts(101, flows), OPTIONS);
+  const heavy = { ...OPTIONS, weights: { classes: { a: 3 }, teams: {} } };
+  const second = nextEpoch(first, facts(101, flows), heavy);
+  assert.deepEqual(second.weights, EQUAL);
+  const over = nextEpoch(second, facts(10, flows), heavy);
+  assert.equal(over.isOverloaded, false);
+  assert.equal(over.number, 3);
+  assert.deepEqual(nextEpoch(over, facts(10, flows), heavy), over);
+  const again = nextEpoch(over, facts(101, flows), heavy);
+  assert.equal(again.overload, 2);
+  assert.deepEqual(again.weights, heavy.weights);
+});
+
+test('a deferred job is told the same time by all, within what users follow, and retries are spread', () => {
+  const flows = [flow('a', 'x', 1)];
+  const epoch = nextEpoch(initialEpoch(EQUAL), facts(101, flows), OPTIONS);
+  const times = Array.from({ length: 60 }, (_, n) => {
+    const job = jobOf(`req-${n}`, 'a', 'x');
+    const decision = decide(epoch, grantOf(epoch, 'a', 'x') + 300, job);
+    assert.deepEqual(
+      decision,
+      decide(structuredClone(epoch), grantOf(epoch, 'a', 'x') + 300, structuredClone(job)),
+    );
+    assert.ok(decision.kind === 'defer');
+    return decision.retryAfterS;
+  });
+  assert.ok(Math.min(...times) >= 1 && Math.max(...times) <= 30);
+  assert.ok(new Set(times).size >= 4, 'not all at once');
+});
+
+test('a job that depends on accepted ones is admitted in debt, and counted', () => {
+  const epoch = nextEpoch(initialEpoch(EQUAL), facts(101, [flow('a', 'x', 1)]), OPTIONS);
+  const job = { ...jobOf('req-2', 'a', 'x'), dependencies: ['req-1'] };
+  assert.deepEqual(decide(epoch, 1e9, job), { kind: 'admit', cost: 10 });
+});
--- /dev/null
+++ b/test/admission-steps.ts
@@ -0,0 +1,59 @@
+/** @file Steps that tests of admission share. */
+import assert from 'node:assert/strict';
+import { KEY, read } from '../src/bookkeeping/records';
+import type { Outcome, PatientUsers } from './fakes/patient-users';
+import { World } from './fakes/world';
+
+export const ADMISSION = { enabled: true, enter_s: 60, leave_s: 30, stalled_s: 10, epoch_s: 5 };
+export const OBJECTIVES = ['bulk', 'photo', 'index'].map((name) => ({ kind: 'wait', class: name }));
+/** 48 CPUs. */
+export const MACHINES = 12;
+export const CAPACITY_CPUS = 4 * MACHINES;
+
+/** A deployment with admission on. */
+export function admissionWorld(admission: Record<string, unknown> = ADMISSION): World {
+  const world = new World({ operator: { admission }, objectives: OBJECTIVES, reportS: 3 });
+  world.capacity = MACHINES;
+  return world;
+}
+
+/** The epoch in force. */
+export const epochOf = (world: World) => read.admission(world.state.data.get(KEY.admission)?.data);
+
+/** Fills the fleet and has work of the classes accepted beyond it, until there is an overload. */
+export async function overload(
+  world: World,
+  users: PatientUsers,
+  flows: readonly (readonly [jobClass: string, team: string])[] = [['bulk', 'red']],
+): Promise<void> {
+  await world.untilOwned();
+  await world.until(
+    'all controllers understand the format',
+    () => epochOf(world) !== undefined || gateIsOpen(world),
+  );
+  for (let n = 0; n < 6; n += 1) {
+    const [jobClass, team] = flows[n % flows.length] ?? [];
+    assert.ok(jobClass !== undefined && team !== undefined);
+    users.submit(jobClass, team, 20, 60);
+  }
+  await world.until('there is an overload', () => epochOf(world)?.isOverloaded === true, 60);
+}
+
+/** Whether all controllers have shown which records they understand. */
+export const gateIsOpen = (world: World): boolean =>
+  [...world.state.data.keys()].filter((key) => key.startsWith('live/format/')).length === 3;
+
+/** The jobs that were accepted. */
+export const accepted = (outcomes: readonly Outcome[]): Outcome[] =>
+  outcomes.filter((o) => o.acceptedAt !== undefined);
+
+/** CPU seconds of the accepted jobs that are meant. */
+export const admittedCost = (outcomes: readonly Outcome[], isMeant: (outcome: Outcome) => boolean): number =>
+  accepted(outcomes)
+    .filter(isMeant)
+    .reduce((sum, { cost }) => sum + cost, 0);
+
+/** The controller that leads. */
+export function leaderOf(world: World): string | undefined {
+  return read.leader(world.state.data.get(KEY.leader)?.data)?.node;
+}
--- a/test/fakes/controller-settings.ts
+++ b/test/fakes/controller-settings.ts
@@ -17,6 +17,9 @@
 export interface WorldOptions {
   limitCpus?: number;
   operator?: Record<string, unknown>;
+  /** An operator's settings of single controllers, instead of those of all. */
+  operators?: Record<string, unknown>[];
+  objectives?: { kind: string; class: string }[];
   cpu?: number;
   writeRps?: number;
   cloudRps?: number;
@@ -46,6 +49,7 @@
           { name: 'red', cpus: 8, cpus_max: options.limitCpus ?? 0 },
           { name: 'blue', cpus: 8 },
         ],
+        objectives: options.objectives ?? [],
         workers: { report_s: options.reportS ?? REPORT_S, lease_s: LEASE_S, cancel_s: CANCEL_S },
         state: {
           rps: 200,
@@ -58,6 +62,6 @@
         quota: { cpu: coreShare },
       },
     },
-    operator: options.operator ?? {},
+    operator: options.operators?.[index] ?? options.operator ?? {},
   };
 }
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -141,6 +141,15 @@
     return this.controllers.findIndex((c) => c.alive && c.node.owners.get(0)?.entitled === true);
   }
 
+  /** The controller reads other settings of its operator when it starts next. */
+  setOperator(index: number, operator: Record<string, unknown>): void {
+    const operators = [0, 1, 2].map(
+      (other) => this.options.operators?.[other] ?? this.options.operator ?? {},
+    );
+    operators[index] = operator;
+    this.options.operators = operators;
+  }
+
   async untilOwned(): Promise<number> {
     for (let step = 0; step < 400 && this.owner < 0; step += 1) await this.clock.advance(100);
     assert(this.owner >= 0, 'no controller owns the block');
--- /dev/null
+++ b/test/fakes/patient-users.ts
@@ -0,0 +1,96 @@
+/** @file Users who submit jobs as the protocol has it: they follow `Retry-After`, and give up after a minute. */
+import type { Answer } from '../../src/transport/http-client';
+import { NODES } from './controller-settings';
+import { submission } from './submission';
+import type { World } from './world';
+
+const USER = 'user';
+const TIMEOUT_MS = 5_000;
+const PATIENCE_MS = 60_000;
+const MIN_RETRY_MS = 1_000;
+
+/** What became of a submission. */
+export interface Outcome {
+  readonly id: string;
+  readonly jobClass: string;
+  readonly team: string;
+  /** CPU seconds. */
+  readonly cost: number;
+  readonly submittedAt: number;
+  acceptedAt: number | undefined;
+  deferrals: number;
+  isOver: boolean;
+}
+
+/** A kind of job that arrives at a steady rate. */
+export interface Arrivals {
+  readonly jobClass: string;
+  readonly team: string;
+  readonly perMinute: number;
+  readonly tasks: number;
+  /** The user's estimate of a task's run time. */
+  readonly estimateS: number;
+  /** How long a task really runs. */
+  readonly runS?: number;
+}
+
+/** Submits jobs to the controllers in turn, any number of them at the same time. */
+export class PatientUsers {
+  readonly outcomes: Outcome[] = [];
+  #next = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly patienceMs = PATIENCE_MS,
+  ) {}
+
+  /** Submits a job; the result is in `outcomes`, and complete when `isOver`. */
+  submit(jobClass: string, team: string, tasks: number, estimateS: number, runS = estimateS): Outcome {
+    this.#next += 1;
+    const id = `req-${String(this.#next).padStart(6, '0')}`;
+    const outcome: Outcome = {
+      ...{ id, jobClass, team, cost: tasks * estimateS, submittedAt: this.world.clock.now() },
+      ...{ acceptedAt: undefined, deferrals: 0, isOver: false },
+    };
+    this.outcomes.push(outcome);
+    this.world.runS(id, runS);
+    const fields = { docket: jobClass, crew: team, pieces: tasks, cpus: 1, memGb: 1, reckonS: estimateS };
+    void this.#persist(outcome, submission(id, fields));
+    return outcome;
+  }
+
+  /** Lets jobs arrive evenly until a steady time. */
+  arrive(arrivals: Arrivals, until: number): void {
+    const everyMs = 60_000 / arrivals.perMinute;
+    const { clock } = this.world;
+    const next = (): void => {
+      if (clock.now() >= until) return;
+      this.submit(arrivals.jobClass, arrivals.team, arrivals.tasks, arrivals.estimateS, arrivals.runS);
+      clock.after(everyMs, next);
+    };
+    clock.after(everyMs, next);
+  }
+
+  /** One submission at one controller. */
+  ask(index: number, body: unknown): Promise<Answer> {
+    const address = this.world.controllers[index]?.address ?? '';
+    return this.world.network.caller(USER).call(address, 'POST', '/work', body, TIMEOUT_MS);
+  }
+
+  async #persist(outcome: Outcome, body: unknown): Promise<void> {
+    const { clock } = this.world;
+    for (let attempt = this.#next; clock.now() - outcome.submittedAt < this.patienceMs; attempt += 1) {
+      const answer = await this.ask(attempt % NODES.length, body).catch(() => undefined);
+      if (answer?.status === 201 || answer?.status === 200) {
+        outcome.acceptedAt = clock.now();
+        break;
+      }
+      const isDeferred = (answer?.body as { error?: string } | null)?.error === 'deferred';
+      if (isDeferred) outcome.deferrals += 1;
+      // `Retry-After` is a header, which the network in memory doesn't carry: a second, as without it, is what a
+      // controller has to stand.
+      await clock.sleep(MIN_RETRY_MS);
+    }
+    outcome.isOver = true;
+  }
+}
