--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -133,10 +133,13 @@
     throw new NoAnswer('a submission was not confirmed', true);
   }
 
-  /** An accepted job is never deferred later. Undefined: it wasn't accepted, or that can't be asked now. */
+  /** An accepted job is never deferred later. Undefined: it wasn't accepted, or that can't be told now. */
   async #findAccepted(id: string): Promise<JobStatus | undefined> {
-    const isLive = this.context.cache.get(KEY.job(id)) !== undefined;
-    return isLive || (await this.context.admission.allowsLookUp()) ? this.find(id) : undefined;
+    const { admission, cache } = this.context;
+    const isLive = cache.get(KEY.job(id)) !== undefined;
+    if (!isLive && !(await admission.allowsLookUp())) return undefined;
+    // Without an answer the user is told to come back, at the time that the deferral names.
+    return this.find(id).catch(() => undefined);
   }
 
   /**
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { Command, InvalidArgumentError } from 'commander';
+import { readAdmissionOptions } from '../admission/options';
 import { readSettings, SettingsError } from '../base/settings';
 import { codec } from '../protocol/codec';
 import { HttpClient, NoAnswer } from '../transport/http-client';
@@ -105,6 +106,7 @@
         pace: settings.pace,
         stateLimits: deployment.state,
         stateLimitsAnnounced: settings.nextStateLimits ?? null,
+        admission: readAdmissionOptions(settings) ?? null,
         warnings: settings.warnings,
       };
       process.stdout.write(`${JSON.stringify({ ...summary, options: settings.operator })}\n`);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,3 +1,6 @@
+import { createRequire } from 'node:module';
+import { join } from 'node:path';
+import { readAdmissionOptions } from '../admission/options';
 import { systemClock } from '../base/clock';
 import { createLog, levelFromEnv, type Log } from '../base/log';
 import { describe, runLoop } from '../base/loop';
@@ -11,6 +14,7 @@
 import { HttpClient } from '../transport/http-client';
 import { createServer } from '../transport/http-server';
 import { listenForPeers, PeerSender } from '../transport/peer-link';
+import type * as Tracing from './tracing';
 
 const MAX_BODY_BYTES = 64 * 1024;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -35,11 +39,19 @@
   log.info(usage, 'usage');
 }
 
+/** Spans go to the log where an operator asks for them; their library is loaded for nobody else. */
+function startTracing(log: Log): void {
+  const tracing = createRequire(__filename)(join(__dirname, 'tracing.js')) as typeof Tracing;
+  tracing.traceToLog(log);
+}
+
 /** Runs a controller until something kills it. */
 export async function serve(settings: Settings, code: string): Promise<void> {
   const { platform, sockets } = settings;
+  const admission = readAdmissionOptions(settings);
   const log = createLog(levelFromEnv(process.env.LOG_LEVEL), platform.node);
   for (const warning of settings.warnings) log.warn(warning);
+  if (admission?.isTraced) startTracing(log);
   // A process never ends by itself: what no loop caught is logged, and the loops go on.
   process.on('uncaughtException', (error) => {
     log.error({ err: describe(error), stack: error.stack }, 'uncaught');
--- a/test/admission-failures.test.ts
+++ b/test/admission-failures.test.ts
@@ -179,3 +179,64 @@
   assert.ok(outcome.acceptedAt !== undefined);
   world.noRuleBroken();
 });
+
+test('a job whose dependencies were accepted is not starved, whatever its class owes', async () => {
+  const world = admissionWorld();
+  const users = new PatientUsers(world);
+  await overload(world, users);
+  const [first] = accepted(users.outcomes);
+  assert.ok(first);
+  const chain = submission('req-900', {
+    docket: 'bulk',
+    crew: 'red',
+    pieces: 1,
+    cpus: 1,
+    awaits: [first.id],
+  });
+  const free = submission('req-901', { docket: 'bulk', crew: 'red', pieces: 1, cpus: 1 });
+  assert.equal((await world.ask(1, 'POST', '/work', free)).status, 503);
+  assert.equal((await world.ask(1, 'POST', '/work', chain)).status, 201);
+  const unknown = submission('req-902', { docket: 'bulk', crew: 'red', awaits: ['req-999'] });
+  assert.equal((await world.ask(1, 'POST', '/work', unknown)).status, 422);
+  world.noRuleBroken();
+});
+
+test('no epoch is written while a controller of the production version takes part', async () => {
+  const world = new World({
+    ...{
+      operators: [{ admission: ADMISSION }, { admission: ADMISSION }, {}],
+      objectives: OBJECTIVES,
+      reportS: 3,
+    },
+    versions: ['present', 'present', 'production'],
+  });
+  world.capacity = MACHINES;
+  const users = new PatientUsers(world);
+  await world.untilOwned();
+  for (let n = 0; n < 6; n += 1) users.submit('bulk', 'red', 20, 60);
+  await world.clock.advance(40_000);
+  assert.equal(epochOf(world), undefined);
+  assert.ok(users.outcomes.every((outcome) => outcome.deferrals === 0 && outcome.acceptedAt !== undefined));
+  world.kill(2);
+  await world.clock.advance(1_000);
+  world.restart(2, 'present');
+  await world.until('there is an overload', () => epochOf(world)?.isOverloaded === true, 60);
+  world.noRuleBroken();
+});
+
+test('users who ask about a flood of deferred jobs are answered, and so are polls', async () => {
+  const world = admissionWorld();
+  await overload(world, new PatientUsers(world));
+  const users = new PatientUsers(world, 3_000, 1_000);
+  const [known] = [...world.state.data.keys()].filter((key) => key.startsWith('live/job/'));
+  assert.ok(known);
+  for (let n = 0; n < 200; n += 1) users.submit('bulk', 'red', 4, 20);
+  for (let n = 0; n < 6; n += 1) {
+    const asked = world.clock.now();
+    assert.equal(await world.standing(known.slice('live/job/'.length), n % 3), 'running');
+    assert.ok(world.clock.now() - asked < 200, 'at once');
+  }
+  await world.clock.advance(5_000);
+  assert.ok(users.outcomes.every((outcome) => outcome.isOver && outcome.deferrals > 0));
+  world.noRuleBroken();
+});
--- a/test/admission-shares.test.ts
+++ b/test/admission-shares.test.ts
@@ -80,7 +80,7 @@
 test('of a thousand jobs that one team submits within a second few are admitted, and another gets in at once', async () => {
   const world = admissionWorld();
   await overload(world, new PatientUsers(world));
-  const users = new PatientUsers(world, 2_000);
+  const users = new PatientUsers(world, 2_000, 1_000);
   const flood = Array.from({ length: 1_000 }, () => users.submit('photo', 'red', 4, 20));
   await world.clock.advance(1_000);
   const single = users.submit('photo', 'blue', 4, 20);
--- a/test/fakes/patient-users.ts
+++ b/test/fakes/patient-users.ts
@@ -37,12 +37,16 @@
 /** Submits jobs to the controllers in turn, any number of them at the same time. */
 export class PatientUsers {
   readonly outcomes: Outcome[] = [];
-  #next = 0;
+  #next: number;
 
   constructor(
     private readonly world: World,
     private readonly patienceMs = PATIENCE_MS,
-  ) {}
+    /** Numbers of jobs begin above this one, so that several users of one world have jobs of their own. */
+    lastNumber = 0,
+  ) {
+    this.#next = lastNumber;
+  }
 
   /** Submits a job; the result is in `outcomes`, and complete when `isOver`. */
   submit(jobClass: string, team: string, tasks: number, estimateS: number, runS = estimateS): Outcome {
