--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -20,6 +20,10 @@
     report: { type: 'string', default: '3' },
     seconds: { type: 'string', default: '30' },
     controllers: { type: 'string', default: '3' },
+    /** What the state service, the cloud and a controller's sockets allow; larger sites have more of each. */
+    'write-rps': { type: 'string', default: '100' },
+    'cloud-rps': { type: 'string', default: '4' },
+    sockets: { type: 'string', default: '2500' },
     bundle: { type: 'string', default: 'target/load/main.js' },
     flags: { type: 'string', default: '--max-old-space-size=64 --max-semi-space-size=4 --single-threaded' },
     functions: { type: 'string', default: '25' },
@@ -75,9 +79,9 @@
     ...TEAMS.map((t) => `[[deployment.teams]]\nname = "${t}"`),
     '[[deployment.objectives]]\nkind = "wait"\nclass = "small"\nwithin_s = 5.0\nshare = 0.8',
     `[deployment.workers]\nreport_s = ${args.report}\nlease_s = 26.0\ncancel_s = 51.0`,
-    '[deployment.state]\nrps = 250.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 32',
-    '[deployment.cloud]\nrps = 4.0\nlist_lag_s = 0.0',
-    '[deployment.quota]\ncpu = 0.34\nmem_mb = 242.0\nfd_limit = 2500',
+    `[deployment.state]\nrps = 250.0\nwrite_rps = ${args['write-rps']}\nvalue_kb = 16.0\ntxn_ops = 32`,
+    `[deployment.cloud]\nrps = ${args['cloud-rps']}\nlist_lag_s = 0.0`,
+    `[deployment.quota]\ncpu = 0.34\nmem_mb = 242.0\nfd_limit = ${args.sockets}`,
   ].join('\n');
 };
 
