--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -39,7 +39,8 @@
   const undecided = (error?: unknown): HttpReply => {
     if (error instanceof UnknownDependency) return refused(422, error.message);
     if (error instanceof SubmissionDeferred) {
-      return { status: 503, body: { error: 'deferred' }, retryAfterS: error.retryAfterS };
+      const { retryAfterS } = error;
+      return { status: 503, body: { error: 'deferred', retryAfterS }, retryAfterS };
     }
     if (error !== undefined) log.debug({ err: describe(error) }, 'a request could not be decided');
     return { status: 503, body: { error: 'not now' }, retryAfterS: RETRY_AFTER_S };
--- /dev/null
+++ b/test/load/admission.ts
@@ -0,0 +1,148 @@
+/** @file Fair admission with three real controllers on the loopback range, ten minutes scaled down. */
+import { parseArgs } from 'node:util';
+import { NoAnswer, type Answer } from '../../src/transport/http-client';
+import { FakeStateService } from '../fakes/state-service';
+import { submission } from '../fakes/submission';
+import type { JobFacts } from '../fakes/worker';
+import { CLOUD, ControllerProcesses, STATE } from './controllers';
+import { LoadCloud, Loopback, realClock } from './stand-ins';
+
+const { values: args } = parseArgs({
+  options: {
+    /** Seconds that are measured, after the debts of the beginning were repaid. */
+    seconds: { type: 'string', default: '120' },
+    out: { type: 'string', default: 'target/load/admission' },
+    bundle: { type: 'string', default: 'target/load/main.js' },
+    off: { type: 'boolean', default: false },
+  },
+});
+
+/** 64 CPUs. */
+const MACHINES = 4;
+const CAPACITY_CPUS = 16 * MACHINES;
+const TASKS = 8;
+const TASK_S = 4;
+const PATIENCE_MS = 12_000;
+const WARM_UP_MS = 40_000;
+/** How many times the capacity each class asks for; each is entitled to a third. */
+const DEMAND = { bulk: 2, photo: 0.6, index: 0.5 } as const;
+type JobClass = keyof typeof DEMAND;
+const CLASSES = Object.keys(DEMAND) as JobClass[];
+const ADMISSION = '[admission]\nenabled = true\nenter_s = 12\nleave_s = 6\nstalled_s = 4\nepoch_s = 1\n';
+
+interface Outcome {
+  readonly jobClass: JobClass;
+  readonly submittedAt: number;
+  acceptedAt?: number;
+}
+
+const processes = new ControllerProcesses({
+  ...{ out: args.out, bundle: args.bundle, controllers: 3, isProfiled: false },
+  flags: ['--max-old-space-size=64', '--max-semi-space-size=4', '--single-threaded'],
+  ...{ reportS: '0.8', writeRps: '200', cloudRps: '10', sockets: '2500', classes: CLASSES },
+  ...(args.off ? {} : { operatorToml: ADMISSION }),
+});
+const network = new Loopback();
+const state = new FakeStateService(realClock);
+const facts = new Map<string, JobFacts>();
+const cloud = new LoadCloud(
+  ...([MACHINES, 1_000, processes.nodes, { reportS: 0.8, leaseS: 26 }, network] as const),
+  (job) => facts.get(job),
+);
+network.attach(STATE, (request) => state.handle(request));
+network.attach(CLOUD, cloud.handle);
+const outcomes: Outcome[] = [];
+const counts = { submissions: 0, deferred: 0, otherRefusals: 0, compared: 0, differed: 0 };
+let names = 0;
+
+function newJob(jobClass: JobClass, tasks = TASKS): Record<string, unknown> & { nameId: string } {
+  names += 1;
+  const id = `req-${String(names).padStart(6, '0')}`;
+  const fields = { docket: jobClass, crew: 'red', pieces: tasks, cpus: 1, memGb: 1, reckonS: TASK_S };
+  facts.set(id, { runS: TASK_S, stashS: 0, bookmarkS: 0, cpus: 1 });
+  return { ...submission(id, fields), nameId: id };
+}
+
+async function ask(index: number, body: unknown): Promise<Answer> {
+  counts.submissions += 1;
+  const { address = '' } = processes.nodes[index % 3] ?? {};
+  try {
+    return await processes.http.call(address, 'POST', '/work', body, 5_000);
+  } catch (error) {
+    if (!(error instanceof NoAnswer)) throw error;
+    return { status: 0, body: null };
+  }
+}
+
+async function user(jobClass: JobClass, tasks = TASKS): Promise<void> {
+  const job = newJob(jobClass, tasks);
+  const outcome: Outcome = { jobClass, submittedAt: realClock.now() };
+  outcomes.push(outcome);
+  for (let attempt = names; realClock.now() - outcome.submittedAt < PATIENCE_MS; attempt += 1) {
+    const { status, body } = await ask(attempt, job);
+    if (status === 200 || status === 201) {
+      outcome.acceptedAt = realClock.now();
+      return;
+    }
+    const { error, retryAfterS = 0 } = (body ?? {}) as { error?: string; retryAfterS?: number };
+    if (error === 'deferred') counts.deferred += 1;
+    else counts.otherRefusals += 1;
+    // Scaled down like the rest: a user who follows `Retry-After` up to 30 s would have given up.
+    await realClock.sleep(Math.min(3_000, Math.max(400, retryAfterS * 400)));
+  }
+}
+
+const epochNumber = (): unknown =>
+  (state.data.get('live/admission')?.data as { epoch?: number } | undefined)?.epoch;
+
+/** The same submission at all controllers at once: alike, unless the epoch moved on or it was admitted. */
+async function compare(): Promise<void> {
+  const job = newJob('bulk', 1);
+  const before = epochNumber();
+  const answers = await Promise.all([0, 1, 2].map((index) => ask(index, job)));
+  if (before === undefined || epochNumber() !== before) return;
+  counts.compared += 1;
+  const deferred = answers.filter(
+    ({ body }) => (body as { error?: string } | null)?.error === 'deferred',
+  ).length;
+  const accepted = answers.filter(({ status }) => status === 200 || status === 201).length;
+  if (deferred > 0 && accepted > 0) counts.differed += 1;
+}
+
+processes.startAll(0);
+await processes.untilUp();
+for (const jobClass of CLASSES) {
+  for (let n = 0; n < 4; n += 1) void user(jobClass, 10 * TASKS);
+  const perS = (DEMAND[jobClass] * CAPACITY_CPUS) / (TASKS * TASK_S);
+  setInterval(() => void user(jobClass), 1000 / perS).unref();
+}
+setInterval(() => void compare(), 500).unref();
+await realClock.sleep(WARM_UP_MS);
+const from = realClock.now();
+const writesBefore = state.ledger;
+const countsBefore = { ...counts };
+await realClock.sleep(Number(args.seconds) * 1000);
+const measured = outcomes.filter(({ acceptedAt = 0 }) => acceptedAt >= from);
+const shares = CLASSES.map((c) => [
+  c,
+  measured.filter(({ jobClass }) => jobClass === c).length / measured.length,
+]);
+const longest = CLASSES.map((c) => {
+  const waits = measured
+    .filter(({ jobClass }) => jobClass === c)
+    .map((o) => (o.acceptedAt ?? 0) - o.submittedAt);
+  return [c, Math.round(Math.max(0, ...waits))];
+});
+const admitted = (measured.length * TASKS * TASK_S) / Number(args.seconds) / CAPACITY_CPUS;
+console.log({
+  admission: args.off ? 'off' : 'on',
+  shares: Object.fromEntries(shares) as unknown,
+  admittedPartOfCapacity: Number(admitted.toFixed(3)),
+  longestWaitMs: Object.fromEntries(longest) as unknown,
+  submissions: counts.submissions - countsBefore.submissions,
+  deferred: counts.deferred - countsBefore.deferred,
+  otherRefusals: counts.otherRefusals - countsBefore.otherRefusals,
+  ...{ compared: counts.compared, differed: counts.differed },
+  revisions: state.ledger - writesBefore,
+});
+process.exit(0);
--- /dev/null
+++ b/test/load/controllers.ts
@@ -0,0 +1,140 @@
+/** @file Controllers as real processes on the loopback range, with their settings files. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { performance } from 'node:perf_hooks';
+import { codec } from '../../src/protocol/codec';
+import { HttpClient } from '../../src/transport/http-client';
+import { realClock } from './stand-ins';
+
+/** Where the stand-ins of the state service and of the cloud listen. */
+export const STATE = '127.2.0.1:2379';
+export const CLOUD = '127.2.0.2:8443';
+/** The teams of the deployment. */
+export const TEAMS = ['red', 'blue', 'green', 'white', 'black', 'grey'];
+
+/** What differs between loads. */
+export interface DeploymentOptions {
+  readonly out: string;
+  readonly bundle: string;
+  readonly flags: readonly string[];
+  readonly controllers: number;
+  readonly reportS: string;
+  readonly writeRps: string;
+  readonly cloudRps: string;
+  readonly sockets: string;
+  readonly classes: readonly string[];
+  /** The operators' options file, as TOML. */
+  readonly operatorToml?: string;
+  readonly isProfiled: boolean;
+}
+
+/** A controller's process. */
+export interface Controller {
+  readonly name: string;
+  readonly child: ChildProcess;
+  readonly startedAt: number;
+  readonly profiles: string;
+}
+
+/** Starts and ends controllers. Whatever becomes of the load, none of them outlives it. */
+export class ControllerProcesses {
+  readonly nodes: readonly { name: string; address: string; back: string }[];
+  readonly http = new HttpClient(codec, { perHost: 200, idle: () => 200 }, 1 << 20);
+  readonly #children = new Set<ChildProcess>();
+  readonly #endHook: string;
+
+  constructor(private readonly options: DeploymentOptions) {
+    this.nodes = Array.from({ length: options.controllers }, (_, i) => ({
+      name: `node-${i}`,
+      address: `127.3.0.${i + 1}:8080`,
+      back: `127.3.0.${i + 1}:8081`,
+    }));
+    rmSync(options.out, { recursive: true, force: true });
+    mkdirSync(options.out, { recursive: true });
+    // The profile is written when a process ends by itself; ours run until something kills them.
+    this.#endHook = `${options.out}/end.cjs`;
+    writeFileSync(this.#endHook, "process.on('SIGTERM', () => process.exit(0));\n");
+    process.on('exit', () => {
+      for (const child of this.#children) child.kill('SIGKILL');
+    });
+  }
+
+  /** Starts a controller; `life` counts its starts. */
+  start(index: number, life: number): Controller {
+    const { out, bundle, flags, operatorToml, isProfiled } = this.options;
+    const name = this.nodes[index]?.name ?? '';
+    const config = `${out}/${name}.toml`;
+    writeFileSync(config, this.#settingsOf(index));
+    const operatorFile = `${out}/options.toml`;
+    if (operatorToml !== undefined) writeFileSync(operatorFile, operatorToml);
+    const profiles = `${out}/${name}-${life}`;
+    mkdirSync(profiles, { recursive: true });
+    const profiling = ['--cpu-prof', `--cpu-prof-dir=${profiles}`, '--cpu-prof-interval=1000'];
+    const child = spawn(
+      process.execPath,
+      [
+        ...flags,
+        `--require=./${this.#endHook}`,
+        ...(isProfiled ? profiling : []),
+        bundle,
+        ...(operatorToml === undefined ? [] : ['--options', operatorFile]),
+        '--config',
+        config,
+      ],
+      { stdio: ['ignore', 'ignore', 'pipe'] },
+    );
+    this.#children.add(child);
+    child.once('exit', () => this.#children.delete(child));
+    child.stderr.on('data', (bytes: Buffer) => {
+      writeFileSync(`${out}/${name}.log`, bytes, { flag: 'a' });
+    });
+    return { name, child, startedAt: performance.now(), profiles };
+  }
+
+  startAll(life: number): Controller[] {
+    return this.nodes.map((_, index) => this.start(index, life));
+  }
+
+  async end(controllers: readonly Controller[]): Promise<void> {
+    const ends = controllers.map(
+      ({ child }) =>
+        new Promise((resolve) => {
+          child.once('exit', resolve);
+          child.kill('SIGTERM');
+        }),
+    );
+    await Promise.all(ends);
+  }
+
+  /** Waits until every controller is ready for users. */
+  async untilUp(): Promise<void> {
+    const waits = this.nodes.map(async ({ address }) => {
+      for (;;) {
+        const up = await this.http.call(address, 'GET', '/up', undefined, 1000).catch(() => undefined);
+        if (up?.status === 200) return;
+        await realClock.sleep(20);
+      }
+    });
+    await Promise.all(waits);
+  }
+
+  #settingsOf(index: number): string {
+    const { classes, reportS, writeRps, cloudRps, sockets } = this.options;
+    const own = this.nodes[index];
+    const others = this.nodes.filter((n) => n !== own);
+    return [
+      `node = "${own?.name}"\narea = "a"\nbind = "${own?.address}"\nback = "${own?.back}"`,
+      ...others.map((o) => `[[others]]\nnode = "${o.name}"\narea = "a"\npeer_addr = "${o.back}"`),
+      `[external]\ncloud = "${CLOUD}"\nstate = "${STATE}"`,
+      '[deployment]\nzones = ["a", "b"]\ntime_bound_ms = 100.0',
+      ...TEAMS.map((t) => `[[deployment.teams]]\nname = "${t}"`),
+      ...classes.map(
+        (c) => `[[deployment.objectives]]\nkind = "wait"\nclass = "${c}"\nwithin_s = 5.0\nshare = 0.8`,
+      ),
+      `[deployment.workers]\nreport_s = ${reportS}\nlease_s = 26.0\ncancel_s = 51.0`,
+      `[deployment.state]\nrps = 250.0\nwrite_rps = ${writeRps}\nvalue_kb = 16.0\ntxn_ops = 32`,
+      `[deployment.cloud]\nrps = ${cloudRps}\nlist_lag_s = 0.0`,
+      `[deployment.quota]\ncpu = 0.34\nmem_mb = 242.0\nfd_limit = ${sockets}`,
+    ].join('\n');
+  }
+}
