One size of JSON text, state answers checked in one place, names of the field; an unused wake goes

Change: jsonBytes beside the limits; DependentCancellation without its wake; the state service's 404 and 409 bodies are checked without a made-up status; successor in log and code. No behaviour changes but the log field.

--- a/src/base/state-limits.ts
+++ b/src/base/state-limits.ts
@@ -70,6 +70,11 @@
   };
 }
 
+/** The size of a value as the state service counts it: bytes of JSON text. */
+export function jsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
 /** The largest value in bytes of JSON text. */
 export function valueBytes({ value_kb }: StateLimits): number {
   return Math.floor(value_kb * BYTES_PER_KB);
--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -1,4 +1,5 @@
 /** @file How a job's list of dependencies is stored. */
+import { jsonBytes } from '../base/state-limits';
 import type { Job } from '../protocol/model';
 import type { Guard, StateStore } from '../protocol/state';
 import { NoAnswer } from '../transport/http-client';
@@ -15,10 +16,6 @@
 /** Conditions of an acceptance besides those on parts. */
 const RESERVED_GUARDS = 2;
 
-function jsonBytes(value: unknown): number {
-  return Buffer.byteLength(JSON.stringify(value));
-}
-
 /** Splits a list of job ids so that each part fits a value of the state service. */
 export function splitDependencies(dependencies: readonly string[], valueBytes: number): string[][] {
   const parts: string[][] = [];
--- a/src/bookkeeping/dependent-cancellation.ts
+++ b/src/bookkeeping/dependent-cancellation.ts
@@ -1,5 +1,5 @@
 /** @file Cancels the jobs that need a cancelled one. */
-import { Wake, type Clock } from '../base/clock';
+import type { Clock } from '../base/clock';
 import type { Event, StateStore } from '../protocol/state';
 import type { DependencyTracker } from './dependency-tracker';
 import type { JobStore } from './job-store';
@@ -34,20 +34,11 @@
  * undone by a crash, or by congestion, may wait.
  */
 export class DependentCancellation {
-  readonly #wake: Wake;
-
-  constructor(private readonly context: CancellationContext) {
-    this.#wake = new Wake(context.clock);
-  }
-
-  /** There may be something to cancel. */
-  wake(): void {
-    this.#wake.wake();
-  }
+  constructor(private readonly context: CancellationContext) {}
 
   /** One step; to be run in a loop. */
   async step(mayAct: () => boolean): Promise<void> {
-    await this.#wake.wait(CHECK_MS);
+    await this.context.clock.sleep(CHECK_MS);
     if (mayAct()) await this.cancelCondemned();
   }
 
--- a/src/bookkeeping/type-records.ts
+++ b/src/bookkeeping/type-records.ts
@@ -1,4 +1,5 @@
 /** @file The record of machine types, whole or in parts. */
+import { jsonBytes } from '../base/state-limits';
 import type { MachineType } from '../protocol/model';
 import type { Change, Guard, StateStore } from '../protocol/state';
 import { KEY, PREFIX, read } from './records';
@@ -132,7 +133,3 @@
   const key = 'put' in change ? change.put : change.delete;
   return { key, version: records.version(key) };
 }
-
-function jsonBytes(value: unknown): number {
-  return Buffer.byteLength(JSON.stringify(value));
-}
--- a/src/coordination/block-owner.ts
+++ b/src/coordination/block-owner.ts
@@ -164,7 +164,7 @@
       else this.#block.loadMachine(key, event.value);
     } else if (key.startsWith(`${PREFIX.relay}${this.block}/`)) {
       // Up to the end of its record a relay may have answered.
-      this.#scheduler.heedKeeping(this.deps.clock.now());
+      this.#scheduler.countAllAsAnswered(this.deps.clock.now());
     } else if (key === KEY.lease(this.block)) {
       this.#onLease(event);
     }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -452,14 +452,14 @@
   /** A node that is cut from most workers of its block gives it to one that they come to instead. */
   async #handOver(owner: BlockOwner): Promise<void> {
     const { machines, unheard } = owner.hearing();
-    const heir = this.#reachability.successor(owner.block, machines, unheard);
+    const successor = this.#reachability.successor(owner.block, machines, unheard);
     const { store, cache, log } = this.#deps;
     const key = KEY.block(owner.block);
     const record = read.block(cache.get(key)?.value);
-    if (heir === undefined || !record) return;
-    log.info({ block: owner.block, heir, machines, unheard }, 'another node hears the workers');
+    if (successor === undefined || !record) return;
+    log.info({ block: owner.block, successor, machines, unheard }, 'another node hears the workers');
     owner.stop('its workers reach another node only');
-    const value = { ...record, owner: heir };
+    const value = { ...record, owner: successor };
     await store.txn(
       [owner.leaseGuard(), { key, version: cache.version(key) }],
       [{ put: key, value }, { delete: KEY.lease(owner.block) }],
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -50,8 +50,8 @@
 
   /** What need not be looked at with every message: walks over all machines, on a clock. */
   housekeep(now: number): void {
-    this.#heedKeepers(now);
-    this.#heedNotices(now);
+    this.#countRelayedAsAnswered(now);
+    this.#stopBeforeNotices(now);
     this.#eager(now);
     this.#endCancelled(now);
     this.#retire(now);
@@ -218,12 +218,12 @@
     }
   }
 
-  #heedKeepers(now: number): void {
-    if (this.block.isKept) this.heedKeeping(now);
+  #countRelayedAsAnswered(now: number): void {
+    if (this.block.isKept) this.countAllAsAnswered(now);
   }
 
   /** Some node relays leases, or has until now: any silent worker may have been answered just now. */
-  heedKeeping(now: number): void {
+  countAllAsAnswered(now: number): void {
     for (const machine of this.block.machines.values()) {
       if (machine.up) machine.answeredAt = Math.max(machine.answeredAt, now);
     }
@@ -245,7 +245,7 @@
     if (!(await this.block.nobodyKeeps())) return;
     // What was kept until a moment ago is in our view by now.
     const now = this.deps.clock.now();
-    this.#heedKeepers(now);
+    this.#countRelayedAsAnswered(now);
     for (const machine of this.#overdue(now)) {
       const { id, attempts } = machine;
       this.deps.log.info({ machine: id, attempts: attempts.size }, 'lease of a silent machine ran out');
@@ -253,7 +253,7 @@
     }
   }
 
-  #heedNotices(now: number): void {
+  #stopBeforeNotices(now: number): void {
     for (const machine of this.block.machines.values()) {
       if (machine.noticeUntil === undefined) continue;
       machine.leaving ??= 'notice';
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -94,7 +94,7 @@
     const answer = await this.#call('GET', `/store/${key}`, undefined);
     if (answer.status === 404) {
       // Only the state service's own word proves that a key does not exist: a job would be called unknown for less.
-      this.#parse({ status: 200, body: answer.body }, missing);
+      check(answer.body, missing);
       return null;
     }
     const entry = this.#parse(answer, entrySchema);
@@ -131,7 +131,7 @@
     };
     const answer = await this.#call('POST', '/txn', body);
     if (answer.status === 409) {
-      const failed = this.#parse({ status: 200, body: answer.body }, txnFailed);
+      const failed = check(answer.body, txnFailed);
       return { ok: false, failed: failed.failed, revision: failed.ledger };
     }
     if (answer.status === 400 && (answer.body as { error?: unknown } | null)?.error === 'no such lease') {
@@ -207,8 +207,13 @@
     if (answer.status === 503 || answer.status === 429)
       throw new StateRefused(`state service: ${answer.status}`);
     if (answer.status !== 200) throw new NoAnswer(`state service: status ${answer.status}`, true);
-    const parsed = schema.safeParse(answer.body);
-    if (!parsed.success) throw new NoAnswer('state service: malformed answer', true);
-    return parsed.data;
+    return check(answer.body, schema);
   }
 }
+
+/** The body of an answer, whose status was looked at already. */
+function check<T>(body: unknown, schema: z.ZodType<T>): T {
+  const parsed = schema.safeParse(body);
+  if (!parsed.success) throw new NoAnswer('state service: malformed answer', true);
+  return parsed.data;
+}
