--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -1,6 +1,6 @@
 /** @file Decides whether a job is admitted, from an epoch and the job alone. */
 import type { Job } from '../protocol/model';
-import { grantedTo, type Epoch } from './epoch';
+import { grantLookup, type Epoch } from './epoch';
 import { flowKey, flowOf, jobCost } from './flow';
 
 /** What becomes of a submission. */
@@ -31,7 +31,7 @@
   const cost = jobCost(job);
   if (job.dependencies) return { kind: 'admit', cost };
   const flow = flowOf(job);
-  const granted = grantedTo(epoch, flow);
+  const granted = grantLookup(epoch)(flow);
   if (admitted < granted) return { kind: 'admit', cost };
   const key = flowKey(flow);
   const rate = epoch.grants.find((grant) => flowKey(grant) === key)?.rate ?? 0;
--- a/src/admission/epoch.ts
+++ b/src/admission/epoch.ts
@@ -60,7 +60,7 @@
 /** The epoch that follows; the same object when nothing changes, so that nothing has to be written. */
 export function nextEpoch(current: Epoch, facts: EpochFacts, options: AdmissionOptions): Epoch {
   const { load, stalledForS } = facts;
-  const isHoldingBack = facts.flows.some((flow) => isExhausted(current, flow));
+  const isHoldingBack = isAnyExhausted(current, facts.flows);
   const state = { wasOverloaded: current.isOverloaded, isHoldingBack, load, stalledForS };
   const overloaded = isOverloaded(state, options);
   if (!overloaded && !current.isOverloaded) return current;
@@ -105,8 +105,9 @@
   const { weights } = current;
   const rates = flowRates(facts, options, weights);
   const kept = (key: string): number => (rates.get(key) ?? 0) * options.epochS * KEPT_EPOCHS;
+  const grantedTo = grantLookup(current);
   const states = facts.flows.map((flow) => {
-    const granted = grantedTo(current, flow);
+    const granted = grantedTo(flow);
     return { ...flow, key: flowKey(flow), granted, isExhausted: flow.admitted >= granted };
   });
   const claims: FlowClaim[] = states.map(({ jobClass, team, key, granted, admitted, isExhausted }) => ({
@@ -123,14 +124,16 @@
   return epochOf(current, { overload: current.overload, weights, grants, rates, epochS: options.epochS });
 }
 
-/** What a flow may take in an epoch. */
-export function grantedTo(epoch: Epoch, flow: Flow): number {
-  const key = flowKey(flow);
-  return epoch.grants.find((grant) => flowKey(grant) === key)?.granted ?? epoch.newFlowGrant;
+/** Looks up what a flow may take in an epoch. */
+export function grantLookup(epoch: Epoch): (flow: Flow) => number {
+  const granted = new Map(epoch.grants.map((grant) => [flowKey(grant), grant.granted]));
+  return (flow) => granted.get(flowKey(flow)) ?? epoch.newFlowGrant;
 }
 
-function isExhausted(epoch: Epoch, flow: FlowFacts): boolean {
-  return epoch.isOverloaded && flow.admitted >= grantedTo(epoch, flow);
+/** Whether a flow has used up what it was granted, so that more of its jobs may be held back. */
+function isAnyExhausted(epoch: Epoch, flows: readonly FlowFacts[]): boolean {
+  const grantedTo = grantLookup(epoch);
+  return epoch.isOverloaded && flows.some((flow) => flow.admitted >= grantedTo(flow));
 }
 
 /** What each flow would be granted a second if all of them had unlimited demand. */
