--- a/src/coordination/attempts.ts
+++ b/src/coordination/block/attempts.ts
@@ -1,10 +1,10 @@
-import { attemptKey, type Job } from '../protocol/model';
+import { attemptKey, type Job } from '../../protocol/model';
 import type { Block } from './block';
-import type { NodeContext } from './node-context';
+import type { NodeContext } from '../node-context';
 import type { DispatchTable } from './dispatch-table';
 import { Health } from './health';
 import { attemptNumber, type Attempt, type Change, type Described, type Machine } from './machine';
-import type { Placement } from './placement';
+import type { Placement } from '../scheduling/placement';
 
 const UNKNOWN_JOB_PAUSE_MS = 1_000;
 const NO_NEEDS: Described = { needs: { cpus: 0, gpus: 0, memoryGb: 0 }, team: '', image: '', imageGb: 0 };
--- a/src/coordination/block.ts
+++ b/src/coordination/block/block.ts
@@ -1,12 +1,12 @@
-import { COMPLETION_PREFIXES, readCompletions } from '../bookkeeping/completion-records';
-import { KEY, PREFIX, read, type MachineRecord } from '../bookkeeping/records';
-import type { Guard } from '../protocol/state';
-import type { NodeContext } from './node-context';
+import { COMPLETION_PREFIXES, readCompletions } from '../../bookkeeping/completion-records';
+import { KEY, PREFIX, read, type MachineRecord } from '../../bookkeeping/records';
+import type { Guard } from '../../protocol/state';
+import type { NodeContext } from '../node-context';
 import { DispatchTable } from './dispatch-table';
 import { Estimates } from './estimates';
 import { Holdings } from './holdings';
 import { holdsRoom, Machine } from './machine';
-import type { TeamLimits, TeamUse } from './placement';
+import type { TeamLimits, TeamUse } from '../scheduling/placement';
 
 /** So many machines that have not shown our token yet hold nothing up: they are asked directly. */
 const FEW_UNSETTLED = 64;
--- a/src/coordination/commander.ts
+++ b/src/coordination/block/commander.ts
@@ -1,9 +1,9 @@
-import { describe } from '../base/loop';
-import type { Order, Report } from '../protocol/model';
+import { describe } from '../../base/loop';
+import type { Order, Report } from '../../protocol/model';
 import type { Attempts } from './attempts';
 import type { Block } from './block';
 import { sendCommand, type CommandResult } from './commands';
-import type { NodeContext } from './node-context';
+import type { NodeContext } from '../node-context';
 import { issueToken, type Attempt, type Machine } from './machine';
 
 const MAX_ORDERS = 200;
--- a/src/coordination/commands.ts
+++ b/src/coordination/block/commands.ts
@@ -1,6 +1,6 @@
-import type { Order, Report } from '../protocol/model';
-import { parseReport, writeCommand } from '../protocol/workers';
-import { NoAnswer, type HttpCaller } from '../transport/http-client';
+import type { Order, Report } from '../../protocol/model';
+import { parseReport, writeCommand } from '../../protocol/workers';
+import { NoAnswer, type HttpCaller } from '../../transport/http-client';
 
 export type CommandResult =
   | { kind: 'done'; report: Report }
--- a/src/coordination/dispatch-table.ts
+++ b/src/coordination/block/dispatch-table.ts
@@ -1,7 +1,7 @@
-import { Bitmap } from '../bookkeeping/bitmap';
-import type { CompletionRecord, StoredCompletions } from '../bookkeeping/completion-records';
-import type { JobRecord } from '../bookkeeping/records';
-import { PRIORITY_RANK, type Job, type Priority } from '../protocol/model';
+import { Bitmap } from '../../bookkeeping/bitmap';
+import type { CompletionRecord, StoredCompletions } from '../../bookkeeping/completion-records';
+import type { JobRecord } from '../../bookkeeping/records';
+import { PRIORITY_RANK, type Job, type Priority } from '../../protocol/model';
 
 const UNASSIGNED = 0;
 const ISSUED = 1;
--- a/src/coordination/estimates.ts
+++ b/src/coordination/block/estimates.ts
@@ -1,5 +1,5 @@
 /** @file Learns how long tasks run compared with what users estimated. */
-import type { Job } from '../protocol/model';
+import type { Job } from '../../protocol/model';
 
 /** Weight of the newest task in the moving average. */
 const WEIGHT = 0.05;
--- a/src/coordination/holdings.ts
+++ b/src/coordination/block/holdings.ts
@@ -1,5 +1,5 @@
 import type { Attempt, Machine, RoomWatcher } from './machine';
-import type { TeamUse } from './placement';
+import type { TeamUse } from '../scheduling/placement';
 
 const NO_ZONES: ReadonlyMap<string, number> = new Map();
 
--- a/src/coordination/machine.ts
+++ b/src/coordination/block/machine.ts
@@ -1,6 +1,12 @@
-import type { MachineRecord } from '../bookkeeping/records';
-import { DRIFT } from '../bookkeeping/session';
-import { attemptKey, type ExitCause, type MachineType, type Report, type Resources } from '../protocol/model';
+import type { MachineRecord } from '../../bookkeeping/records';
+import { DRIFT } from '../../bookkeeping/session';
+import {
+  attemptKey,
+  type ExitCause,
+  type MachineType,
+  type Report,
+  type Resources,
+} from '../../protocol/model';
 
 /** `sent`: a start has left, or is about to, and no message of the worker has shown the attempt yet. */
 export type Phase = 'sent' | 'fetching' | 'running' | 'saving' | 'exited';
--- a/src/coordination/recorder.ts
+++ b/src/coordination/block/recorder.ts
@@ -1,10 +1,10 @@
-import { Wake } from '../base/clock';
-import { changesAtOnce, valueBytes } from '../base/state-limits';
-import { blockCount } from '../bookkeeping/block-count';
-import { completionLayout, groupByRecord, readCompletions } from '../bookkeeping/completion-records';
-import { KEY, type FinalRecord } from '../bookkeeping/records';
-import type { Change, Guard } from '../protocol/state';
-import type { NodeContext } from './node-context';
+import { Wake } from '../../base/clock';
+import { changesAtOnce, valueBytes } from '../../base/state-limits';
+import { blockCount } from '../../bookkeeping/block-count';
+import { completionLayout, groupByRecord, readCompletions } from '../../bookkeeping/completion-records';
+import { KEY, type FinalRecord } from '../../bookkeeping/records';
+import type { Change, Guard } from '../../protocol/state';
+import type { NodeContext } from '../node-context';
 import type { DispatchTable } from './dispatch-table';
 
 /** What the recorder needs of the block. */
--- a/src/coordination/up-records.ts
+++ b/src/coordination/block/up-records.ts
@@ -1,10 +1,10 @@
 /** @file Records that machines are up before their first reports are answered. */
-import { describe } from '../base/loop';
-import { changesAtOnce } from '../base/state-limits';
-import { KEY, type MachineRecord } from '../bookkeeping/records';
-import type { Guard } from '../protocol/state';
+import { describe } from '../../base/loop';
+import { changesAtOnce } from '../../base/state-limits';
+import { KEY, type MachineRecord } from '../../bookkeeping/records';
+import type { Guard } from '../../protocol/state';
 import type { Block } from './block';
-import type { NodeContext } from './node-context';
+import type { NodeContext } from '../node-context';
 import type { Machine } from './machine';
 
 const GATHER_MS = 40;
--- /dev/null
+++ b/src/coordination/environment.ts
@@ -0,0 +1,20 @@
+/** @file What a controller is given from outside: clock, randomness, log and connections. */
+import type { Clock } from '../base/clock';
+import type { Log } from '../base/log';
+import type { Random } from '../base/random';
+import type { HttpCaller } from '../transport/http-client';
+
+/** Clock, randomness, log and connections that a node is given. */
+export interface Environment {
+  clock: Clock;
+  /** Steady time at which this process began. */
+  startedAt: number;
+  random: Random;
+  log: Log;
+  /** For calls to state service and cloud. */
+  http: HttpCaller;
+  /** For calls to workers. */
+  workers: HttpCaller;
+  /** Sends to all other nodes; best effort. */
+  broadcast(bytes: Uint8Array): void;
+}
--- a/src/coordination/cloud-view.ts
+++ b/src/coordination/fleet/cloud-view.ts
@@ -1,9 +1,9 @@
 /** @file A node's copy of the cloud's list of machines. */
-import type { Clock } from '../base/clock';
-import { PREFIX } from '../bookkeeping/records';
-import type { WatchCache } from '../bookkeeping/watch-cache';
-import { LIST_LIMIT, type Cloud } from '../protocol/cloud';
-import type { ListedMachine } from '../protocol/model';
+import type { Clock } from '../../base/clock';
+import { PREFIX } from '../../bookkeeping/records';
+import type { WatchCache } from '../../bookkeeping/watch-cache';
+import { LIST_LIMIT, type Cloud } from '../../protocol/cloud';
+import type { ListedMachine } from '../../protocol/model';
 
 const POLL_MS = 6_000;
 /**
--- a/src/coordination/fleet-manager.ts
+++ b/src/coordination/fleet/fleet-manager.ts
@@ -1,14 +1,14 @@
 /** @file Rents, records and returns a block's machines. */
-import { Wake } from '../base/clock';
-import { describe } from '../base/loop';
-import { changesAtOnce } from '../base/state-limits';
-import { KEY, type MachineRecord } from '../bookkeeping/records';
-import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../protocol/cloud';
-import type { Guard } from '../protocol/state';
-import type { NodeContext } from './node-context';
+import { Wake } from '../../base/clock';
+import { describe } from '../../base/loop';
+import { changesAtOnce } from '../../base/state-limits';
+import { KEY, type MachineRecord } from '../../bookkeeping/records';
+import { CloudRefused, MAX_RELEASE, MAX_RENT } from '../../protocol/cloud';
+import type { Guard } from '../../protocol/state';
+import type { NodeContext } from '../node-context';
 import { optionKey, planFleet, type FleetInput, type RentOption, type Rental } from './fleet';
-import type { Machine } from './machine';
-import type { RecordOutcome } from './up-records';
+import type { Machine } from '../block/machine';
+import type { RecordOutcome } from '../block/up-records';
 
 /** What the fleet manager needs of the block. */
 export interface Fleet {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet/fleet.ts
@@ -1,6 +1,6 @@
 /** @file Plans which machines to rent for waiting work and which idle ones to return. */
-import { takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
-import { fits, mayUse, zoneAllows } from './placement';
+import { takeFrom, type Job, type MachineType, type Resources } from '../../protocol/model';
+import { fits, mayUse, zoneAllows } from '../scheduling/placement';
 
 /** A machine of the fleet, as far as renting and returning need to know it. */
 export interface FleetMachine {
--- /dev/null
+++ b/src/coordination/machine-types.ts
@@ -0,0 +1,64 @@
+/** @file The machine types that the cloud offers, shared among the nodes through the state service. */
+import type { Clock } from '../base/clock';
+import type { Settings } from '../base/settings';
+import { changesAtOnce, valueBytes } from '../base/state-limits';
+import type { FormatGate } from '../bookkeeping/format-gate';
+import { readTypes, storeTypes } from '../bookkeeping/type-records';
+import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { Cloud } from '../protocol/cloud';
+import type { MachineType } from '../protocol/model';
+import type { StateStore } from '../protocol/state';
+
+const REFRESH_MS = 60_000;
+const NOT_LOADED_PAUSE_MS = 20;
+
+/** What the list of types is read from and written to. */
+export interface MachineTypesContext {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly cache: WatchCache;
+  readonly store: StateStore;
+  readonly formatGate: FormatGate;
+  readonly cloud: Cloud;
+}
+
+/**
+ * The machine types that the cloud offers. The leader asks the cloud and records the answer, which also serves a node
+ * that starts while the cloud is down.
+ */
+export class MachineTypes {
+  #types: readonly MachineType[] = [];
+
+  constructor(private readonly context: MachineTypesContext) {}
+
+  /** The types known so far; empty before the first are. */
+  get all(): readonly MachineType[] {
+    return this.#types;
+  }
+
+  /** A record of types has changed. */
+  onRecordChanged(): void {
+    this.#types = readTypes(this.context.cache) ?? this.#types;
+  }
+
+  /** One step, to be run in a loop; calls back when the types were asked for and answered. */
+  async refresh(isLeader: boolean, onRefreshed: () => void, signal: AbortSignal): Promise<void> {
+    const { cache, store, clock, cloud, formatGate, settings } = this.context;
+    if (!cache.loaded) {
+      await clock.sleep(NOT_LOADED_PAUSE_MS, signal);
+      return;
+    }
+    if (this.#types.length === 0 || isLeader) {
+      const types = await cloud.types();
+      this.#types = types;
+      const { state } = settings.platform.deployment;
+      await storeTypes(types, cache, store, {
+        valueBytes: valueBytes(state),
+        changes: changesAtOnce(state),
+        mayUseParts: formatGate.isOpen,
+      });
+      onRefreshed();
+    }
+    await clock.sleep(REFRESH_MS, signal);
+  }
+}
--- a/src/coordination/node-context.ts
+++ b/src/coordination/node-context.ts
@@ -10,7 +10,7 @@
 import type { JobStore } from '../bookkeeping/job-store';
 import type { Session } from '../bookkeeping/session';
 import type { WatchCache } from '../bookkeeping/watch-cache';
-import type { ChainUrgency } from './chain-urgency';
+import type { ChainUrgency } from './scheduling/chain-urgency';
 import type { Cloud } from '../protocol/cloud';
 import type { MachineType } from '../protocol/model';
 import type { Event, StateStore } from '../protocol/state';
--- a/src/coordination/leader.ts
+++ b/src/coordination/ownership/leader.ts
@@ -1,10 +1,10 @@
-import { changesAtOnce } from '../base/state-limits';
-import { blockCount } from '../bookkeeping/block-count';
-import { KEY, PREFIX, read, type BlockRecord } from '../bookkeeping/records';
-import type { Guard } from '../protocol/state';
+import { changesAtOnce } from '../../base/state-limits';
+import { blockCount } from '../../bookkeeping/block-count';
+import { KEY, PREFIX, read, type BlockRecord } from '../../bookkeeping/records';
+import type { Guard } from '../../protocol/state';
 import { RecordSweep } from './record-sweep';
-import type { CloudView } from './cloud-view';
-import type { NodeContext } from './node-context';
+import type { CloudView } from '../fleet/cloud-view';
+import type { NodeContext } from '../node-context';
 
 const STRAY_AGE_S = 5;
 const STRAYS_AT_ONCE = 10;
--- a/src/coordination/lease-extension.ts
+++ b/src/coordination/ownership/lease-extension.ts
@@ -1,12 +1,12 @@
 /**
  * @file Extension of a block owner's lease by its peers during an outage of the state service.
  */
-import { PROMISE_MS } from '../base/settings';
-import { blockCount } from '../bookkeeping/block-count';
-import { KEY, PREFIX, read } from '../bookkeeping/records';
-import { DRIFT } from '../bookkeeping/session';
-import type { LeaseExtensionGrant, LeaseExtensionRequest, PeerMessage } from '../protocol/peers';
-import type { NodeContext } from './node-context';
+import { PROMISE_MS } from '../../base/settings';
+import { blockCount } from '../../bookkeeping/block-count';
+import { KEY, PREFIX, read } from '../../bookkeeping/records';
+import { DRIFT } from '../../bookkeeping/session';
+import type { LeaseExtensionGrant, LeaseExtensionRequest, PeerMessage } from '../../protocol/peers';
+import type { NodeContext } from '../node-context';
 
 /** Safety margin: the requester stops using a grant this long before it ends. */
 const UNUSED_MS = 400;
--- a/src/coordination/lease-relay.ts
+++ b/src/coordination/ownership/lease-relay.ts
@@ -1,12 +1,12 @@
 /**
  * @file Relay of worker leases: answers another node's workers while they reach this node and not their owner.
  */
-import { blockCount } from '../bookkeeping/block-count';
-import { KEY, read } from '../bookkeeping/records';
-import type { WatchCache } from '../bookkeeping/watch-cache';
-import type { Order, Report } from '../protocol/model';
-import type { NodeContext } from './node-context';
-import { PEER_TIMEOUT_MS, type PeerReachability } from './peer-reachability';
+import { blockCount } from '../../bookkeeping/block-count';
+import { KEY, read } from '../../bookkeeping/records';
+import type { WatchCache } from '../../bookkeeping/watch-cache';
+import type { Order, Report } from '../../protocol/model';
+import type { NodeContext } from '../node-context';
+import { PEER_TIMEOUT_MS, type PeerReachability } from '../../suspicion/peer-reachability';
 
 /** How long a node goes on relaying after it last had a reason to. */
 const LINGER_MS = 3_000;
--- a/src/coordination/record-sweep.ts
+++ b/src/coordination/ownership/record-sweep.ts
@@ -1,8 +1,8 @@
 /** @file Finds records that jobs which are over have left behind. */
-import type { Clock } from '../base/clock';
-import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../bookkeeping/completion-records';
-import { KEY, PREFIX } from '../bookkeeping/records';
-import type { WatchCache } from '../bookkeeping/watch-cache';
+import type { Clock } from '../../base/clock';
+import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../../bookkeeping/completion-records';
+import { KEY, PREFIX } from '../../bookkeeping/records';
+import type { WatchCache } from '../../bookkeeping/watch-cache';
 
 /**
  * Parts of a list of dependencies are written before the job that they belong to is accepted. A user repeats a
--- a/src/coordination/token.ts
+++ b/src/coordination/ownership/token.ts
@@ -1,7 +1,7 @@
-import { KEY, read } from '../bookkeeping/records';
-import type { Block } from './block';
-import type { NodeContext } from './node-context';
-import { issueToken } from './machine';
+import { KEY, read } from '../../bookkeeping/records';
+import type { Block } from '../block/block';
+import type { NodeContext } from '../node-context';
+import { issueToken } from '../block/machine';
 
 const LOOK_MS = 250;
 /** Between two raises of the token: when an unanswered start is in doubt, and for mere forgetting. */
--- a/src/coordination/chain-urgency.ts
+++ b/src/coordination/scheduling/chain-urgency.ts
@@ -1,8 +1,8 @@
 /** @file Priorities and deadlines that a job takes over from those that need it. */
-import { KEY, read } from '../bookkeeping/records';
-import type { JobGraph } from '../bookkeeping/job-graph';
-import type { WatchCache } from '../bookkeeping/watch-cache';
-import { PRIORITY_RANK, type Priority } from '../protocol/model';
+import { KEY, read } from '../../bookkeeping/records';
+import type { JobGraph } from '../../bookkeeping/job-graph';
+import type { WatchCache } from '../../bookkeeping/watch-cache';
+import { PRIORITY_RANK, type Priority } from '../../protocol/model';
 
 /** How urgent a job is, given all jobs that need it. */
 export interface Urgency {
--- a/src/coordination/consolidation.ts
+++ b/src/coordination/scheduling/consolidation.ts
@@ -1,5 +1,5 @@
 /** @file Chooses nearly empty machines whose tasks can move elsewhere. */
-import { addTo, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
+import { addTo, takeFrom, type Job, type MachineType, type Resources } from '../../protocol/model';
 import { fits, mayUse } from './placement';
 
 /** A running task that might move to another machine. */
--- a/src/coordination/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -1,5 +1,5 @@
 /** @file Orders waiting jobs and places their tasks on machines. */
-import { PRIORITY_RANK, takeFrom, type Job, type MachineType, type Resources } from '../protocol/model';
+import { PRIORITY_RANK, takeFrom, type Job, type MachineType, type Resources } from '../../protocol/model';
 
 /** A job with work waiting, as a round sees it. */
 export interface WaitingJob {
--- a/src/coordination/preemption.ts
+++ b/src/coordination/scheduling/preemption.ts
@@ -6,7 +6,7 @@
   type Job,
   type MachineType,
   type Resources,
-} from '../protocol/model';
+} from '../../protocol/model';
 import {
   anywhere,
   fits,
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -1,11 +1,11 @@
-import { PRIORITY_RANK, takeFrom, type Job } from '../protocol/model';
-import type { Attempts } from './attempts';
-import type { Block } from './block';
+import { PRIORITY_RANK, takeFrom, type Job } from '../../protocol/model';
+import type { Attempts } from '../block/attempts';
+import type { Block } from '../block/block';
 import { chooseConsolidation, type SparseMachine } from './consolidation';
-import type { NodeContext } from './node-context';
+import type { NodeContext } from '../node-context';
 import { eagerCandidates } from './eager';
-import type { FleetInput, FleetMachine, RentOption } from './fleet';
-import { holdsRoom, ranS, type Machine } from './machine';
+import type { FleetInput, FleetMachine, RentOption } from '../fleet/fleet';
+import { holdsRoom, ranS, type Machine } from '../block/machine';
 import { fits, mayUse, order, place, type RoomyMachine, type Turn, type WaitingJob } from './placement';
 import { choosePreemptions, stopCost, type CrowdedMachine } from './preemption';
 
--- a/src/coordination/peer-reachability.ts
+++ b/src/suspicion/peer-reachability.ts
@@ -19,6 +19,8 @@
 export class PeerReachability {
   readonly #peers = new Map<string, { at: number; progress: Progress }>();
   readonly #redirected = new Map<string, { block: number; at: number }>();
+  #heardAt = -Infinity;
+  #freshPeerAt = -Infinity;
 
   constructor(private readonly clock: Clock) {}
 
@@ -29,7 +31,20 @@
 
   /** Takes in a peer's periodic message. */
   onProgress(progress: Progress): void {
-    this.#peers.set(progress.from, { at: this.clock.now(), progress });
+    const now = this.clock.now();
+    this.#heardAt = now;
+    if (progress.fresh) this.#freshPeerAt = now;
+    this.#peers.set(progress.from, { at: now, progress });
+  }
+
+  /** Steady time of the latest periodic message of any peer. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
+  /** Steady time of the latest message of a peer whose view of the state service was fresh. */
+  get freshPeerAt(): number {
+    return this.#freshPeerAt;
   }
 
   /** How many machines of each block were redirected from here lately. */
--- a/test/fakes/versions.ts
+++ b/test/fakes/versions.ts
@@ -2,7 +2,7 @@
 import { createRequire } from 'node:module';
 import { resolve } from 'node:path';
 import type { Log } from '../../src/base/log';
-import type { Environment } from '../../src/coordination/node';
+import type { Environment } from '../../src/coordination/environment';
 import { NoAnswer, type HttpCaller } from '../../src/transport/http-client';
 import type { Route } from '../../src/transport/http-server';
 import * as present from './controller-parts';
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,9 +1,9 @@
 /** @file Which machines are rented, given up, emptied and released. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { chooseConsolidation } from '../src/coordination/consolidation';
-import { eagerCandidates } from '../src/coordination/eager';
-import { planFleet, type FleetInput } from '../src/coordination/fleet';
+import { chooseConsolidation } from '../src/coordination/scheduling/consolidation';
+import { eagerCandidates } from '../src/coordination/scheduling/eager';
+import { planFleet, type FleetInput } from '../src/coordination/fleet/fleet';
 import { job, roomy, type } from './decision-inputs';
 
 test('one unreachable machine is given up; a whole unreachable zone is taken for a partition', () => {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,7 +1,7 @@
 /** @file In which order jobs are placed, and on which machines. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { order, place } from '../src/coordination/placement';
+import { order, place } from '../src/coordination/scheduling/placement';
 import { job, limits, roomy, waiting } from './decision-inputs';
 
 test('tasks are placed by priority, then by unmet guarantees, then by slack', () => {
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -1,7 +1,7 @@
 /** @file Which tasks are stopped to make room for others. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { choosePreemptions, stopCost } from '../src/coordination/preemption';
+import { choosePreemptions, stopCost } from '../src/coordination/scheduling/preemption';
 import type { Priority } from '../src/protocol/model';
 import { job, limits, roomy, waiting } from './decision-inputs';
 
--- a/test/record-sweep.test.ts
+++ b/test/record-sweep.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { RecordSweep } from '../src/coordination/record-sweep';
+import { RecordSweep } from '../src/coordination/ownership/record-sweep';
 import { submission } from './fakes/submission';
 import { Service } from './limited-service';
 import { World } from './fakes/world';
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Block } from '../src/coordination/block';
+import type { Block } from '../src/coordination/block/block';
 import type { NodeContext } from '../src/coordination/node-context';
-import type { Machine } from '../src/coordination/machine';
-import { UpRecords } from '../src/coordination/up-records';
+import type { Machine } from '../src/coordination/block/machine';
+import { UpRecords } from '../src/coordination/block/up-records';
 import { NoAnswer } from '../src/transport/http-client';
 import { FakeClock } from './fakes/clock';
 import type { Fate, Request } from './fakes/network';
--- a/test/zone-constraints.test.ts
+++ b/test/zone-constraints.test.ts
@@ -1,7 +1,7 @@
 /** @file Jobs bound to zones: lost machines, renting and waiting. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { planFleet, type FleetInput } from '../src/coordination/fleet';
+import { planFleet, type FleetInput } from '../src/coordination/fleet/fleet';
 import type { Job } from '../src/protocol/model';
 import { World } from './fakes/world';
 import { changeLeader, tasksOf, zoneOf } from './fault-steps';
