Scenarios of failing controllers, a history of who owned which block, and its checker

Need: a controller that stalls, is cut off or comes back must never share a block with its successor, and its jobs must have an owner again within 30 s. Nothing said so over the whole of a scenario.

--- a/src/base/settings.ts
+++ b/src/base/settings.ts
@@ -79,6 +79,8 @@
   rent_patience: z.number().min(0).default(2),
   /** Checked by the package that it belongs to, `src/admission`. */
   admission: z.unknown().optional(),
+  /** The same, `src/suspicion`. */
+  suspicion: z.unknown().optional(),
 });
 
 type PlatformFile = z.infer<typeof platformSchema>;
--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -87,6 +87,8 @@
 export class Process implements Clock {
   #thaw: Promise<void> | undefined;
   #killed = false;
+  /** How much longer every timer and every message takes. */
+  delayMs = 0;
 
   constructor(private readonly clock: FakeClock) {}
 
@@ -112,7 +114,12 @@
     return this.#killed;
   }
 
+  get isFrozen(): boolean {
+    return this.#thaw !== undefined;
+  }
+
   async #goesOn(): Promise<void> {
+    if (this.delayMs > 0) await this.clock.sleep(this.delayMs);
     await this.#thaw;
     if (this.#killed) await new Promise(() => undefined);
   }
--- a/test/fakes/controller-settings.ts
+++ b/test/fakes/controller-settings.ts
@@ -7,14 +7,18 @@
 export const LEASE_S = 10;
 export const CANCEL_S = 30;
 
-/** Names and addresses of the controllers. */
-export const NODES = [0, 1, 2].map((index) => ({
+const DEFAULT_CONTROLLERS = 3;
+
+/** Names and addresses of the controllers that a deployment may have; `nodesOf` tells which it has. */
+export const NODES = [0, 1, 2, 3, 4].map((index) => ({
   name: `node-${index}`,
   address: `10.0.0.${index + 1}:8080`,
 }));
 
 /** What differs between the deployments of scenarios. */
 export interface WorldOptions {
+  /** How many controllers there are, up to five; three where nothing is said. */
+  controllers?: number | undefined;
   limitCpus?: number;
   operator?: Record<string, unknown>;
   /** An operator's settings of single controllers, instead of those of all. */
@@ -31,6 +35,11 @@
   nextLimits?: Record<string, unknown>;
 }
 
+/** The controllers of a deployment. */
+export function nodesOf({ controllers = DEFAULT_CONTROLLERS }: WorldOptions): typeof NODES {
+  return NODES.slice(0, controllers);
+}
+
 /** What a controller reads at its start; `coreShare` is its share of a core. */
 export function controllerSettings(index: number, options: WorldOptions, coreShare: number) {
   return {
@@ -39,7 +48,8 @@
       area: 'a',
       bind: `10.0.0.${index + 1}:8080`,
       back: `10.0.0.${index + 1}:8081`,
-      others: [0, 1, 2]
+      others: nodesOf(options)
+        .map((_, other) => other)
         .filter((other) => other !== index)
         .map((other) => ({ node: `node-${other}`, area: 'a', peer_addr: `10.0.0.${other + 1}:8081` })),
       external: { cloud: CLOUD, state: STATE },
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -5,7 +5,7 @@
 import { readPeerMessage } from '../../src/protocol/peers';
 import type { HttpCaller } from '../../src/transport/http-client';
 import { FakeClock, Process } from './clock';
-import { controllerSettings, NODES, type WorldOptions } from './controller-settings';
+import { controllerSettings, NODES, nodesOf, type WorldOptions } from './controller-settings';
 import { FakeNetwork } from './network';
 import { FakeStateService } from './state-service';
 import { createController, type Version } from './versions';
@@ -50,6 +50,8 @@
   readonly mutes = new Set<string>();
   /** Pairs of controllers that do not hear each other, as `a|b`. */
   readonly apart = new Set<string>();
+  /** Pairs of controllers of which the second does not hear the first, as `a>b`. */
+  readonly lostOneWay = new Set<string>();
   #names = 0;
 
   constructor(protected readonly options: WorldOptions) {
@@ -85,7 +87,9 @@
         if (this.lostPeerMessages.has(readPeerMessage(bytes)?.kind ?? '')) return;
         for (const other of this.controllers) {
           const cut =
-            this.apart.has(`${own.name}|${other.name}`) || this.apart.has(`${other.name}|${own.name}`);
+            this.apart.has(`${own.name}|${other.name}`) ||
+            this.apart.has(`${other.name}|${own.name}`) ||
+            this.lostOneWay.has(`${own.name}>${other.name}`);
           if (!other.alive || cut || this.mutes.has(other.name) || other.name === own.name) continue;
           void other.process.reached(Promise.resolve()).then(() => {
             if (!other.alive) return;
@@ -136,6 +140,22 @@
     return controller.process.freeze();
   }
 
+  /** Every timer and every message of the controller takes so much longer, until the function returned is called. */
+  slow(index: number, delayMs: number): () => void {
+    const controller = this.controllers[index];
+    assert(controller?.alive);
+    controller.process.delayMs = delayMs;
+    return () => {
+      controller.process.delayMs = 0;
+    };
+  }
+
+  /** Whether the controller's process lives and does not stand still. */
+  isRunning(index: number): boolean {
+    const controller = this.controllers[index];
+    return controller?.alive === true && !controller.process.isFrozen;
+  }
+
   /** The index of the controller that owns block 0 and may act, or -1. */
   get owner(): number {
     return this.controllers.findIndex((c) => c.alive && c.node.owners.get(0)?.entitled === true);
@@ -143,8 +163,8 @@
 
   /** The controller reads other settings of its operator when it starts next. */
   setOperator(index: number, operator: Record<string, unknown>): void {
-    const operators = [0, 1, 2].map(
-      (other) => this.options.operators?.[other] ?? this.options.operator ?? {},
+    const operators = nodesOf(this.options).map(
+      (_, other) => this.options.operators?.[other] ?? this.options.operator ?? {},
     );
     operators[index] = operator;
     this.options.operators = operators;
--- /dev/null
+++ b/test/fakes/ownership-history.ts
@@ -0,0 +1,108 @@
+/** @file A history of who owned which block under which token, of orphaned jobs, and the checker of such a history. */
+
+/** From when to when a controller had the right to act for a block under one token. Times in milliseconds. */
+export interface OwnershipInterval {
+  readonly block: number;
+  readonly node: string;
+  readonly token: number;
+  readonly from: number;
+  /** The last moment at which it was seen to have that right. */
+  to: number;
+}
+
+/** A job whose owner failed. */
+export interface OrphanedJob {
+  readonly job: string;
+  readonly orphanedAt: number;
+  /** When a running controller was first seen to own it again, or it had ended. */
+  reassignedAt: number | undefined;
+}
+
+/** Something that left a controller which had no right to act for the block. */
+export interface UnentitledEffect {
+  readonly node: string;
+  readonly what: string;
+  readonly at: number;
+}
+
+/** What happened to the ownership of blocks. */
+export interface OwnershipHistory {
+  readonly intervals: readonly OwnershipInterval[];
+  readonly orphans: readonly OrphanedJob[];
+  readonly effects: readonly UnentitledEffect[];
+  /** When the history ends. */
+  readonly endedAt: number;
+}
+
+/** A rule of ownership that a history breaks. */
+export interface OwnershipViolation {
+  readonly kind: 'two owners' | 'token went back' | 'not reassigned' | 'acted without right';
+  readonly detail: string;
+}
+
+/** An orphaned job has a running owner again after this time at the latest. */
+export const REASSIGN_WITHIN_MS = 30_000;
+
+/** Whether two intervals of different controllers have a moment in common. */
+function overlap(a: OwnershipInterval, b: OwnershipInterval): boolean {
+  return a.node !== b.node && a.from <= b.to && b.from <= a.to;
+}
+
+function describeInterval({ node, token, from, to }: OwnershipInterval): string {
+  return `${node} under token ${token} from ${Math.round(from)} to ${Math.round(to)} ms`;
+}
+
+function checkPair(earlier: OwnershipInterval, later: OwnershipInterval): OwnershipViolation | undefined {
+  const detail = `block ${earlier.block}: ${describeInterval(earlier)}, ${describeInterval(later)}`;
+  if (overlap(earlier, later)) return { kind: 'two owners', detail };
+  if (later.token < earlier.token) return { kind: 'token went back', detail };
+  return undefined;
+}
+
+function checkIntervals(intervals: readonly OwnershipInterval[]): OwnershipViolation[] {
+  const sorted = [...intervals].sort((a, b) => a.from - b.from);
+  const violations: OwnershipViolation[] = [];
+  for (const [index, earlier] of sorted.entries()) {
+    for (const later of sorted.slice(index + 1)) {
+      const violation = earlier.block === later.block ? checkPair(earlier, later) : undefined;
+      if (violation) violations.push(violation);
+    }
+  }
+  return violations;
+}
+
+function checkOrphan(orphan: OrphanedJob, endedAt: number): OwnershipViolation | undefined {
+  const takenMs = (orphan.reassignedAt ?? endedAt) - orphan.orphanedAt;
+  const isLate = takenMs > REASSIGN_WITHIN_MS;
+  if (!isLate && orphan.reassignedAt !== undefined) return undefined;
+  return {
+    kind: 'not reassigned',
+    detail: `${orphan.job}, ${Math.round(takenMs)} ms after its owner failed`,
+  };
+}
+
+/** The rules that a history breaks: one owner at a time, tokens that rise, orphans reassigned, no act without right. */
+export function checkOwnership(history: OwnershipHistory): OwnershipViolation[] {
+  const late = history.orphans.flatMap((orphan) => checkOrphan(orphan, history.endedAt) ?? []);
+  const effects = history.effects.map(({ node, what, at }) => {
+    return { kind: 'acted without right' as const, detail: `${node}: ${what} at ${Math.round(at)} ms` };
+  });
+  return [...checkIntervals(history.intervals), ...late, ...effects];
+}
+
+/** How long each orphaned job waited for a running owner, in milliseconds. */
+export function reassignmentTimes({ orphans }: OwnershipHistory): number[] {
+  return orphans.flatMap(({ orphanedAt, reassignedAt }) =>
+    reassignedAt === undefined ? [] : [reassignedAt - orphanedAt],
+  );
+}
+
+/** How often a block went from one controller to another. */
+export function moveCount({ intervals }: OwnershipHistory): number {
+  const sorted = [...intervals].sort((a, b) => a.from - b.from);
+  return sorted.filter((later, index) => {
+    const before = sorted.slice(0, index).filter(({ block }) => block === later.block);
+    const previous = before.at(-1);
+    return previous !== undefined && previous.node !== later.node;
+  }).length;
+}
--- /dev/null
+++ b/test/fakes/ownership-recorder.ts
@@ -0,0 +1,118 @@
+/** @file Records the ownership of blocks in the in-memory deployment. */
+import { KEY, read } from '../../src/bookkeeping/records';
+import type { Controller } from './deployment';
+import type { Request } from './network';
+import type { OrphanedJob, OwnershipHistory, OwnershipInterval, UnentitledEffect } from './ownership-history';
+import type { World } from './world';
+
+const SAMPLE_MS = 10;
+
+/** Requests that only the owner of a block may send. */
+function ownersOnly({ method, path }: Request): boolean {
+  return path === '/do' || (method === 'POST' && path.startsWith('/hosts'));
+}
+
+/**
+ * Looks at every controller every few milliseconds, and at every request that leaves one. A controller that stands still
+ * is looked at too: what it would be allowed to do at this moment counts, since it may go on at this moment.
+ */
+export class OwnershipRecorder {
+  readonly #intervals: OwnershipInterval[] = [];
+  readonly #open = new Map<string, OwnershipInterval>();
+  readonly #orphans: OrphanedJob[] = [];
+  readonly #effects: UnentitledEffect[] = [];
+  readonly #endRule: () => void;
+  #isStopped = false;
+
+  constructor(private readonly world: World) {
+    this.#endRule = world.network.rule((request) => {
+      this.#observe(request);
+      return undefined;
+    });
+    this.#sample();
+  }
+
+  /** The controller failed: jobs of its blocks that are not over are orphaned from now on. */
+  controllerFailed(index: number): void {
+    const now = this.world.clock.now();
+    for (const owner of this.world.controllers[index]?.node.owners.values() ?? []) {
+      for (const job of owner.tables.keys()) {
+        this.#orphans.push({ job, orphanedAt: now, reassignedAt: undefined });
+      }
+    }
+  }
+
+  /** Ends the recording. */
+  finish(): OwnershipHistory {
+    this.#sampleOnce();
+    this.#isStopped = true;
+    this.#endRule();
+    return {
+      intervals: this.#intervals,
+      orphans: this.#orphans,
+      effects: this.#effects,
+      endedAt: this.world.clock.now(),
+    };
+  }
+
+  #sample(): void {
+    if (this.#isStopped) return;
+    this.#sampleOnce();
+    this.world.clock.after(SAMPLE_MS, () => {
+      this.#sample();
+    });
+  }
+
+  #sampleOnce(): void {
+    for (const controller of this.world.controllers) this.#sampleController(controller);
+    for (const orphan of this.#orphans) {
+      if (orphan.reassignedAt === undefined && this.#isOwnedOrOver(orphan.job)) {
+        orphan.reassignedAt = this.world.clock.now();
+      }
+    }
+  }
+
+  #sampleController({ name, node, alive }: Controller): void {
+    const now = this.world.clock.now();
+    for (const [block, owner] of node.owners) {
+      const key = `${block}/${name}`;
+      if (!alive || !owner.entitled) {
+        this.#open.delete(key);
+        continue;
+      }
+      const open = this.#open.get(key);
+      // A raise of the token is the same ownership; one that was acquired anew has an interval of its own.
+      if (open && now - open.to <= 2 * SAMPLE_MS) {
+        open.to = now;
+        continue;
+      }
+      const interval = { block, node: name, token: this.#tokenOf(block), from: now, to: now };
+      this.#intervals.push(interval);
+      this.#open.set(key, interval);
+    }
+  }
+
+  /** The token under which a block is owned, by the state service's word. */
+  #tokenOf(block: number): number {
+    return read.lease(this.world.state.data.get(KEY.lease(block))?.data)?.token ?? 0;
+  }
+
+  #isOwnedOrOver(job: string): boolean {
+    if (!this.world.rules.unfinished.includes(job)) return true;
+    return this.world.controllers.some(
+      ({ node }, index) =>
+        this.world.isRunning(index) &&
+        [...node.owners.values()].some((owner) => owner.entitled && owner.tables.has(job)),
+    );
+  }
+
+  #observe(request: Request): void {
+    if (!ownersOnly(request)) return;
+    const controller = this.world.controllers.find(({ name }) => name === request.from);
+    if (!controller) return;
+    const isEntitled = [...controller.node.owners.values()].some((owner) => owner.entitled);
+    if (isEntitled) return;
+    const what = `${request.method} ${request.path} to ${request.to}`;
+    this.#effects.push({ node: controller.name, what, at: this.world.clock.now() });
+  }
+}
--- a/test/fakes/patient-users.ts
+++ b/test/fakes/patient-users.ts
@@ -1,6 +1,5 @@
 /** @file Users who submit jobs as the protocol has it: they follow `Retry-After`, and give up after a minute. */
 import type { Answer } from '../../src/transport/http-client';
-import { NODES } from './controller-settings';
 import { submission } from './submission';
 import type { World } from './world';
 
@@ -84,7 +83,7 @@
   async #persist(outcome: Outcome, body: unknown): Promise<void> {
     const { clock } = this.world;
     for (let attempt = this.#next; clock.now() - outcome.submittedAt < this.patienceMs; attempt += 1) {
-      const answer = await this.ask(attempt % NODES.length, body).catch(() => undefined);
+      const answer = await this.ask(attempt % this.world.controllers.length, body).catch(() => undefined);
       if (answer?.status === 201 || answer?.status === 200) {
         outcome.acceptedAt = clock.now();
         break;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import type { Answer } from '../../src/transport/http-client';
 import { FakeCloud, TYPE } from './cloud';
-import { CANCEL_S, CLOUD, LEASE_S, NODES, REPORT_S, STATE, type WorldOptions } from './controller-settings';
+import { CANCEL_S, CLOUD, LEASE_S, nodesOf, REPORT_S, STATE, type WorldOptions } from './controller-settings';
 import { Deployment } from './deployment';
 import type { Request } from './network';
 import { Rules, type MachineFacts } from './rules';
@@ -55,7 +55,7 @@
     });
     this.network.attach(STATE, (request) => this.state.handle(request));
     this.network.attach(CLOUD, (request) => this.cloud.handle(request));
-    for (let index = 0; index < 3; index += 1) {
+    for (let index = 0; index < nodesOf(options).length; index += 1) {
       this.addController(index, options.versions?.[index] ?? 'present');
     }
   }
@@ -209,7 +209,7 @@
       id,
       `10.1.0.${this.#machines}:9000`,
       { frame: 'm4', yard, loaners, cpus: 4 },
-      NODES,
+      nodesOf(this.options),
       { reportS: this.options.reportS ?? REPORT_S, leaseS: LEASE_S },
       {
         clock: this.clock,
--- /dev/null
+++ b/test/suspicion-stalls.test.ts
@@ -0,0 +1,161 @@
+/** @file Controllers whose processes stand still for a while and go on: one owner for each block at any moment. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { moveCount, reassignmentTimes } from './fakes/ownership-history';
+import {
+  freezeFor,
+  killFor,
+  leaderIndex,
+  othersThan,
+  playFault,
+  SUSPICION_OFF,
+  SUSPICION_ON,
+  usersDuring,
+  type Fault,
+} from './suspicion-steps';
+
+const STALL_MS = 8_000;
+
+/** The owner stalls, and users go on at another controller. */
+const ownerStalls: Fault = async (play) => {
+  const { world, owner } = play;
+  freezeFor(play, owner, STALL_MS);
+  await usersDuring(world, othersThan(world, owner)[0] ?? 0);
+  await world.clock.advance(STALL_MS + 2_000);
+};
+
+/** The owner dies for good, and the controller that is chosen to succeed it stalls as soon as a step is seen. */
+function successorStalls(step: 'chosen' | 'acquired' | 'confirmed'): Fault {
+  return async (play) => {
+    const { world, owner } = play;
+    killFor(play, owner, 60_000);
+    const others = othersThan(world, owner);
+    const successor = await untilStep(play, others, step);
+    freezeFor(play, successor, STALL_MS);
+    await usersDuring(world, others.find((other) => other !== successor) ?? 0);
+    await world.clock.advance(60_000);
+  };
+}
+
+/** Waits until a controller has come as far as a step of the handover, and tells which. */
+async function untilStep(
+  { world }: Parameters<Fault>[0],
+  others: readonly number[],
+  step: 'chosen' | 'acquired' | 'confirmed',
+): Promise<number> {
+  const hasReached = (index: number): boolean => {
+    const name = `node-${index}`;
+    const block = world.state.data.get('live/block/0')?.data as { owner: string };
+    const lease = world.state.data.get('live/lease/0')?.data as { owner: string; token: number } | undefined;
+    if (step === 'chosen') return block.owner === name;
+    if (lease?.owner !== name) return false;
+    return step === 'acquired' || [...world.workers.values()].some(({ baton }) => baton >= lease.token);
+  };
+  for (let waited = 0; waited < 3_000; waited += 1) {
+    const reached = others.find(hasReached);
+    if (reached !== undefined) return reached;
+    await world.clock.advance(5);
+  }
+  assert.fail(`no controller was ${step}`);
+}
+
+const scenarios: { title: string; controllers?: number; fault: Fault }[] = [
+  { title: 'the owner stalls for 8 s and returns', fault: ownerStalls },
+  { title: 'the owner, of five controllers, stalls for 8 s and returns', controllers: 5, fault: ownerStalls },
+  {
+    title: 'a controller that owns nothing and does not lead stalls for 8 s',
+    fault: async (play) => {
+      const { world, owner } = play;
+      const idle = othersThan(world, owner).find((index) => index !== leaderIndex(world)) ?? 0;
+      freezeFor(play, idle, STALL_MS);
+      await usersDuring(world, owner);
+      await world.clock.advance(STALL_MS);
+      assert.equal(world.owner, owner);
+    },
+  },
+  {
+    title: 'the leader stalls for 8 s while another controller owns the block',
+    fault: async (play) => {
+      const { world } = play;
+      // The owner's block goes to another controller, which does not lead.
+      killFor(play, play.owner, 1_000);
+      await world.clock.advance(100);
+      const owner = await world.untilOwned();
+      await world.clock.advance(8_000);
+      const leader = leaderIndex(world);
+      freezeFor(play, leader, STALL_MS);
+      await usersDuring(world, othersThan(world, leader).find((index) => index !== owner) ?? 0);
+      await world.clock.advance(STALL_MS);
+    },
+  },
+  { title: 'the chosen successor stalls for 8 s before it acquires', fault: successorStalls('chosen') },
+  { title: 'the successor stalls for 8 s when it has acquired', fault: successorStalls('acquired') },
+  {
+    title: 'the successor stalls for 8 s when the first workers are confirmed',
+    fault: successorStalls('confirmed'),
+  },
+  {
+    title: 'two stalls that overlap: the owner, and then its successor',
+    fault: async (play) => {
+      const { world, owner } = play;
+      freezeFor(play, owner, STALL_MS);
+      await world.clock.advance(5_000);
+      const successor = await world.untilOwned();
+      freezeFor(play, successor, STALL_MS);
+      const reader = othersThan(world, owner).find((index) => index !== successor) ?? 0;
+      await usersDuring(world, reader);
+      await world.clock.advance(2 * STALL_MS);
+    },
+  },
+  {
+    title: 'two of five controllers stall at the same time',
+    controllers: 5,
+    fault: async (play) => {
+      const { world, owner } = play;
+      const [second = 0, reader = 0] = othersThan(world, owner);
+      freezeFor(play, owner, STALL_MS);
+      freezeFor(play, second, STALL_MS);
+      await usersDuring(world, reader);
+      await world.clock.advance(2 * STALL_MS);
+    },
+  },
+];
+
+for (const [name, operator] of [
+  ['on', SUSPICION_ON],
+  ['off', SUSPICION_OFF],
+] as const) {
+  for (const { title, controllers, fault } of scenarios) {
+    test(`${title}; suspicion ${name}`, async () => {
+      const { history } = await playFault(fault, { controllers, operator });
+      assert.ok(reassignmentTimes(history).every((ms) => ms < 15_000));
+    });
+  }
+
+  test(`all controllers stall for 4 s: nobody is condemned, no block moves; suspicion ${name}`, async () => {
+    const { history } = await playFault(
+      async (play) => {
+        const { world } = play;
+        for (const index of world.controllers.keys()) freezeFor(play, index, 4_000);
+        await world.clock.advance(8_000);
+        await usersDuring(world, 0);
+      },
+      { operator },
+    );
+    assert.equal(moveCount(history), 0);
+  });
+
+  test(`all controllers are slow for 20 s: no block moves; suspicion ${name}`, async () => {
+    const { history } = await playFault(
+      async ({ world }) => {
+        const ends = [...world.controllers.keys()].map((index) => world.slow(index, 300));
+        await world.clock.advance(10_000);
+        await usersDuring(world, 0);
+        await world.clock.advance(10_000);
+        for (const end of ends) end();
+      },
+      { operator },
+    );
+    assert.equal(moveCount(history), 0);
+  });
+}
