Suspicion of controllers: detector, views, successor, planned handover; off unless an options file names it

Need: nobody knows that a controller is failing before its lease ends, a slow one keeps its blocks until then, and a block may be given to a controller that doesn't answer. Change: src/suspicion/: phi accrual over heartbeat intervals in a quantile sketch, running time that leaves out this process's own pauses, what other controllers heard as indirect evidence, runs and incarnations, views in the periodic message (a field that older versions skip), an order of successors that all compute alike, a bound on moves, and the decision to give blocks up. The leader gives suspects nothing by choice and assigns a block anew whose chosen owner is suspected before it has acquired it; a stalled controller hands over in order. With suspicion off the fixed timeout judges as before.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -67,8 +67,6 @@
   'max-params': [
     'src/bookkeeping/session.ts',
     'src/bookkeeping/watch-cache.ts',
-    'src/coordination/block/block-owner.ts',
-    'src/coordination/block/block.ts',
     'src/coordination/block/commands.ts',
     'src/coordination/block/machine.ts',
     'src/main.ts',
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -47,6 +47,7 @@
 };
 export const PREFIX = {
   node: 'live/node/',
+  block: 'live/block/',
   machine: 'live/machine/',
   job: 'live/job/',
   dependencyPart: 'live/dependencies/',
--- a/src/coordination/block/block-owner.ts
+++ b/src/coordination/block/block-owner.ts
@@ -4,8 +4,9 @@
 import type { Order, Report } from '../../protocol/model';
 import type { JobProgress } from '../../protocol/peers';
 import type { Event, Guard } from '../../protocol/state';
+import type { HandoverTrace } from '../../suspicion/handover-trace';
 import { Attempts } from './attempts';
-import { Block } from './block';
+import { Block, type BlockTenure } from './block';
 import { summarizeBlock } from './block-summary';
 import { Commander } from './commander';
 import type { NodeContext } from '../node-context';
@@ -46,22 +47,19 @@
   readonly #fleet: FleetManager;
   readonly #wake: Wake;
   readonly #stop = new AbortController();
+  #handover: HandoverTrace | undefined;
   #housekeptAt = -Infinity;
   #summaryAt = -Infinity;
 
   constructor(
-    number: number,
-    teams: readonly string[],
-    token: number,
-    leaseVersion: number,
-    takenRevision: number,
+    tenure: BlockTenure,
     private readonly deps: NodeContext,
   ) {
     this.#wake = new Wake(deps.clock);
     const wake = (): void => {
       this.#wake.wake();
     };
-    this.#block = new Block(number, teams, token, leaseVersion, takenRevision, deps, wake);
+    this.#block = new Block(tenure, deps, wake);
     this.#commander = new Commander(
       this.#block,
       () => this.#attempts,
@@ -87,10 +85,15 @@
     this.#recorder = new Recorder(this, deps);
     this.#fleet = new FleetManager(this, deps);
     const { tables, machines } = this.#block;
-    deps.log.info({ block: number, token, jobs: tables.size, machines: machines.size }, 'block taken over');
+    deps.log.info(
+      { block: tenure.number, token: tenure.token, jobs: tables.size, machines: machines.size },
+      'block taken over',
+    );
   }
 
-  start(): void {
+  /** Begins to act; `handover` follows how the block was taken over. */
+  start(handover?: HandoverTrace): void {
+    this.#handover = handover;
     const signal = this.#stop.signal;
     const loop = (name: string, step: () => Promise<void>): void => {
       const { clock, log } = this.deps;
@@ -138,6 +141,11 @@
     return this.#upRecords.size;
   }
 
+  /** Commands that have left and are not answered. */
+  get outstandingCommands(): number {
+    return this.#commander.outstanding;
+  }
+
   get stopped(): boolean {
     return this.#block.stopped;
   }
@@ -287,15 +295,7 @@
 
   /** How many machines should report here, and how many of them have not for a while. */
   hearing(): { machines: number; unheard: number } {
-    const now = this.deps.clock.now();
-    let machines = 0;
-    let unheard = 0;
-    for (const m of this.machines.values()) {
-      if (!m.up || m.gone) continue;
-      machines += 1;
-      if (m.isSilent(now, this.#block.timing.missedMs)) unheard += 1;
-    }
-    return { machines, unheard };
+    return this.#block.hearing(this.deps.clock.now());
   }
 
   // Rounds.
@@ -312,6 +312,7 @@
     }
     const goesOn = !this.#block.workersAreComing(now) && this.#scheduler.round(now);
     this.#commander.flush();
+    if (this.#handover) this.#followHandover(this.#handover, goesOn);
     if (now - this.#summaryAt >= SUMMARY_MS) {
       this.#summaryAt = now;
       this.#logSummary(now);
@@ -322,6 +323,14 @@
       await this.deps.clock.sleep(Math.min(this.deps.settings.pace.roundPauseMs, pauseMs), signal);
   }
 
+  /** After a round: how far the takeover is. */
+  #followHandover(handover: HandoverTrace, isRoundUnfinished: boolean): void {
+    if (!this.#block.allKnown) return;
+    handover.reached('workers confirmed', { machines: this.machines.size });
+    if (!isRoundUnfinished) handover.reached('orphaned jobs placed', { jobs: this.tables.size });
+    if (handover.isOver) this.#handover = undefined;
+  }
+
   /** One line every now and then, by which an operator sees how the block does. */
   #logSummary(now: number): void {
     const summary = summarizeBlock(this.#block, this.#scheduler.unplaced, now);
--- a/src/coordination/block/block.ts
+++ b/src/coordination/block/block.ts
@@ -16,8 +16,26 @@
 /** A job without an aim should be done within so many times its tasks' run time. */
 const USUAL_RUNS = 4;
 
+/** Under what an owner holds its block. */
+export interface BlockTenure {
+  /** The block's number. */
+  readonly number: number;
+  readonly teams: readonly string[];
+  /** The fencing token that was drawn with the lease. */
+  readonly token: number;
+  /** The version of the block's lease, for the guards of transactions. */
+  readonly leaseVersion: number;
+  /** The revision at which it was acquired. */
+  readonly takenRevision: number;
+}
+
 /** What a block's owner knows: jobs with their tables, machines with what they hold, and its right to act. */
 export class Block {
+  readonly number: number;
+  /** Rises when it is raised; see `TokenRaiser`. */
+  token: number;
+  leaseVersion: number;
+  readonly takenRevision: number;
   readonly machines = new Map<string, Machine>();
   readonly tables = new Map<string, DispatchTable>();
   readonly holdings = new Holdings();
@@ -37,16 +55,17 @@
   readonly #comingMs: number;
 
   constructor(
-    readonly number: number,
-    teams: readonly string[],
-    public token: number,
-    public leaseVersion: number,
-    readonly takenRevision: number,
+    tenure: BlockTenure,
     private readonly deps: NodeContext,
     /** Work for a round. */
     readonly wake: () => void,
   ) {
     this.takenAt = deps.clock.now();
+    const { teams } = tenure;
+    this.number = tenure.number;
+    this.token = tenure.token;
+    this.leaseVersion = tenure.leaseVersion;
+    this.takenRevision = tenure.takenRevision;
     const { operator, platform } = deps.settings;
     const { report_s, lease_s } = platform.deployment.workers;
     this.#comingMs = report_s * 1250 + TRIES_MS;
@@ -129,6 +148,13 @@
     return this.unsettled.size === 0 && this.holdings.nameless === 0;
   }
 
+  /** How many machines should report here, and how many of them have not for a while. */
+  hearing(now: number): { machines: number; unheard: number } {
+    const reporting = [...this.machines.values()].filter((machine) => machine.up && !machine.gone);
+    const unheard = reporting.filter((machine) => machine.isSilent(now, this.timing.missedMs));
+    return { machines: reporting.length, unheard: unheard.length };
+  }
+
   #isKnown(machine: Machine): boolean {
     if (!machine.settled) return false;
     // A task of a job that is over, found after a takeover: whose limit it fills is not known until it is gone.
--- a/src/coordination/block/commander.ts
+++ b/src/coordination/block/commander.ts
@@ -38,6 +38,11 @@
     this.#mostOut = deps.settings.sockets.commands;
   }
 
+  /** How many commands have left and are not answered. */
+  get outstanding(): number {
+    return this.#out.size;
+  }
+
   /** The machine is to be sent its orders at the end of the round. */
   due(machine: Machine): void {
     this.#due.add(machine);
--- a/src/coordination/node-context.ts
+++ b/src/coordination/node-context.ts
@@ -14,6 +14,7 @@
 import type { Cloud } from '../protocol/cloud';
 import type { MachineType } from '../protocol/model';
 import type { Event, StateStore } from '../protocol/state';
+import type { Suspicion } from '../suspicion/suspicion';
 import type { HttpCaller } from '../transport/http-client';
 
 /** Shared services of one node. Clock, randomness and all input and output are injected here. */
@@ -33,6 +34,8 @@
   readonly ended: EndedJobs;
   readonly dependencies: DependencyTracker;
   readonly chainUrgency: ChainUrgency;
+  /** Undefined: suspicion is off here. */
+  readonly suspicion: Suspicion | undefined;
   readonly cloud: Cloud;
   /** For calls to workers. */
   readonly workers: HttpCaller;
--- a/src/coordination/node-services.ts
+++ b/src/coordination/node-services.ts
@@ -19,6 +19,8 @@
 import { Cloud } from '../protocol/cloud';
 import { writePeerMessage } from '../protocol/peers';
 import { HttpStateStore, type Event, type StateStore } from '../protocol/state';
+import { readSuspicionOptions } from '../suspicion/options';
+import { Suspicion } from '../suspicion/suspicion';
 import { RateLimit } from '../transport/rate-limit';
 import type { Environment } from './environment';
 import { MachineTypes } from './machine-types';
@@ -71,6 +73,18 @@
   return new FormatGate({ node: platform.node, controllers, store, cache, clock, log });
 }
 
+/** Undefined: suspicion is off here. */
+function createSuspicion(
+  settings: Settings,
+  { clock, log }: Environment,
+  cache: WatchCache,
+): Suspicion | undefined {
+  const options = readSuspicionOptions(settings);
+  if (!options) return undefined;
+  const { node, others } = settings.platform;
+  return new Suspicion({ node, peers: others.map((other) => other.node), clock, cache, log }, options);
+}
+
 function createJobTracking(
   { platform }: Settings,
   cache: WatchCache,
@@ -144,6 +158,7 @@
     chainUrgency: new ChainUrgency(dependencies.graph, cache),
     cloud,
     workers,
+    suspicion: createSuspicion(settings, environment, cache),
     types: () => machineTypes.all,
     announce,
   };
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -12,7 +12,9 @@
 import type { JobStatus, MachineType, Report } from '../protocol/model';
 import { readPeerMessage, writePeerMessage, type PeerMessage } from '../protocol/peers';
 import type { Event, StateStore } from '../protocol/state';
+import { FixedTimeout } from '../suspicion/peer-liveness';
 import { areMostUnreachable, PeerReachability } from '../suspicion/peer-reachability';
+import type { PeersReport } from '../suspicion/peers-report';
 import type { BlockOwner, OwnAnswer } from './block/block-owner';
 import type { Environment } from './environment';
 import { CloudView } from './fleet/cloud-view';
@@ -84,7 +86,8 @@
     this.#dependentCancellation = services.dependentCancellation;
     this.jobs = context.jobs;
     this.#progress = new JobProgressTable(cache);
-    this.#reachability = new PeerReachability(clock);
+    const liveness = context.suspicion ?? new FixedTimeout(clock);
+    this.#reachability = new PeerReachability(clock, liveness);
     this.#cloudView = new CloudView(context.cloud, clock);
     this.#leader = new Leader(context, this.#cloudView, () => !this.#leaseExtension.mayAcquireBlocks);
     this.#epochWriter = this.#createEpochWriter(services);
@@ -126,7 +129,7 @@
   }
 
   start(): void {
-    const { clock, log, cache, session, formatGate, eventLoopDelay, dependencies } = this.#context;
+    const { clock, log, cache, session, formatGate, eventLoopDelay, dependencies, suspicion } = this.#context;
     const { signal } = this.#stop;
     const loop = (name: string, step: () => Promise<void>, pauseMs?: number): void => {
       void runLoop(name, step, { clock, log, signal }, pauseMs);
@@ -153,6 +156,7 @@
     loop('dependencies', () => dependencies.step());
     loop('dependents of cancelled jobs', () => this.#dependentCancellation.step(() => this.#leader.isLeader));
     loop('admission', () => this.#epochWriter.step(signal));
+    if (suspicion) loop('suspicion', () => suspicion.step(signal));
     loop('progress', async () => {
       await clock.sleep(PROGRESS_MS, signal);
       this.#shareProgress();
@@ -263,11 +267,17 @@
         this.#leaseExtension.onGrant(message.promise);
         return;
       case 'progress':
+        if (this.#context.suspicion?.accepts(message.progress) === false) return;
         this.#reachability.onProgress(message.progress);
         this.#progress.update(message.progress.jobs);
     }
   }
 
+  /** What this controller and its peers hold of each other; undefined with suspicion off. */
+  peersReport(): PeersReport | undefined {
+    return this.#context.suspicion?.report();
+  }
+
   #onChange(event: Event): void {
     for (const owner of this.owners.values()) owner.onChange(event);
     const { key } = event;
@@ -303,11 +313,13 @@
       const { machines, unheard } = owner.hearing();
       return areMostUnreachable(machines, unheard);
     });
+    const { suspicion, node } = this.#context;
     const state = {
-      from: this.#context.node,
+      from: node,
       fresh: this.#fresh,
       unheard: unheard.map((owner) => owner.block),
       turnedAway: this.#reachability.redirected(),
+      ...(suspicion && { view: suspicion.view() }),
     };
     for (const message of progressMessages(state, jobs)) {
       this.environment.broadcast(writePeerMessage(message));
--- a/src/coordination/ownership/block-acquisition.ts
+++ b/src/coordination/ownership/block-acquisition.ts
@@ -2,12 +2,17 @@
 import { blockCount } from '../../bookkeeping/block-count';
 import { KEY, read, type BlockRecord } from '../../bookkeeping/records';
 import type { Entry } from '../../protocol/state';
+import { HandoverTrace } from '../../suspicion/handover-trace';
 import type { PeerReachability } from '../../suspicion/peer-reachability';
 import { BlockOwner } from '../block/block-owner';
 import type { NodeContext } from '../node-context';
+import { blocksByNode, contenders } from './contenders';
 import type { LeaseExtension } from './lease-extension';
 
 const VIEW_POLL_MS = 5;
+const DRAIN_POLL_MS = 20;
+/** How long commands that are on their way may hold up an orderly handover. */
+const DRAIN_MS = 500;
 
 /**
  * What became of the look at a block. Lost: this node's session ended, or the lease went again before the view showed
@@ -21,6 +26,8 @@
  */
 export class BlockAcquisition {
   readonly #owners = new Map<number, BlockOwner>();
+  /** Handovers to this node that are under way, by block; none with suspicion off. */
+  readonly #handovers = new Map<number, HandoverTrace>();
   #isAcquiring = false;
 
   constructor(
@@ -62,6 +69,7 @@
       await store.txn([owner.leaseGuard()], [{ delete: KEY.lease(block) }], true);
     }
     if (!owner.stopped) await this.#handOverUnreachable(owner);
+    if (!owner.stopped) await this.#handOverPlanned(owner);
     if (owner.stopped) this.#owners.delete(block);
   }
 
@@ -76,17 +84,50 @@
     await this.#nameSuccessor(owner, successor);
   }
 
+  /**
+   * A node that is slow itself, or that most peers don't hear, gives its blocks up in order: it stops, lets the commands
+   * that are on their way be answered, and names the successor in the transaction that deletes the lease. That takes well
+   * under the lease, whose end the others would have to wait for.
+   */
+  async #handOverPlanned(owner: BlockOwner): Promise<void> {
+    const { suspicion, log } = this.context;
+    const { block } = owner;
+    const candidates = suspicion ? contenders(this.context, blocksByNode(this.context)) : [];
+    const planned = suspicion?.plannedHandover(block, candidates);
+    if (!planned || this.#record(block)?.owner !== this.context.node) return;
+    const { successor, reason } = planned;
+    log.info({ block, successor, reason }, 'giving a block up in order');
+    const handover = new HandoverTrace(block, this.context);
+    owner.stop(reason);
+    handover.reached('stopped', { reason });
+    await this.#drain(owner);
+    handover.reached('drained', { unanswered: owner.outstandingCommands });
+    await this.#nameSuccessor(owner, successor);
+    handover.reached('successor named', { successor });
+  }
+
+  /** Waits for the answers to commands that have left. What is still unanswered then is the successor's to settle. */
+  async #drain(owner: BlockOwner): Promise<void> {
+    const { clock, session } = this.context;
+    const until = clock.now() + DRAIN_MS;
+    while (owner.outstandingCommands > 0 && clock.now() < until && session.valid) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   /** One transaction names the successor and deletes the lease; the owner has stopped before. */
   async #nameSuccessor(owner: BlockOwner, successor: string): Promise<void> {
     const { store, cache } = this.context;
     const key = KEY.block(owner.block);
     const record = this.#record(owner.block);
     if (!record) return;
-    await store.txn(
-      [owner.leaseGuard(), { key, version: cache.version(key) }],
-      [{ put: key, value: { ...record, owner: successor } }, { delete: KEY.lease(owner.block) }],
-      true,
-    );
+    const deletion = { delete: KEY.lease(owner.block) };
+    // The leader may have given it to another meanwhile: its word stands.
+    const isAssignedHere = record.owner === this.context.node;
+    const changes = isAssignedHere
+      ? [{ put: key, value: { ...record, owner: successor } }, deletion]
+      : [deletion];
+    await store.txn([owner.leaseGuard(), { key, version: cache.version(key) }], changes, true);
   }
 
   async #acquireAssigned(): Promise<void> {
@@ -108,6 +149,7 @@
       return 'refused';
     }
     const record = this.#record(block);
+    this.#followAssignment(block, record?.owner === node);
     if (record?.owner !== node || !this.#mayAcquire(record)) return 'refused';
     return this.#acquire(block, record, session.lease);
   }
@@ -121,6 +163,17 @@
     await this.context.store.txn([{ key, version }], [{ delete: key }], true);
   }
 
+  /** A handover begins when this node is seen to be chosen, and is broken off when another is. */
+  #followAssignment(block: number, isAssigned: boolean): void {
+    if (!this.context.suspicion) return;
+    if (!isAssigned) this.#handovers.delete(block);
+    else if (!this.#handovers.has(block)) {
+      const handover = new HandoverTrace(block, this.context);
+      handover.reached('chosen');
+      this.#handovers.set(block, handover);
+    }
+  }
+
   /** Acquires the lease and draws a token in one transaction. */
   async #acquire(block: number, record: BlockRecord, sessionLease: number): Promise<AcquisitionOutcome> {
     const { node, cache, session, store, clock, log } = this.context;
@@ -145,12 +198,30 @@
       log.warn({ block }, 'a block was lost before it was taken');
       return 'lost';
     }
-    const owner = new BlockOwner(block, record.teams, token, result.revision, result.revision, this.context);
-    this.#owners.set(block, owner);
-    owner.start();
+    const owner = new BlockOwner(
+      {
+        number: block,
+        teams: record.teams,
+        token,
+        leaseVersion: result.revision,
+        takenRevision: result.revision,
+      },
+      this.context,
+    );
+    this.#begin(owner, token);
     return 'acquired';
   }
 
+  #begin(owner: BlockOwner, token: number): void {
+    const { block } = owner;
+    this.#owners.set(block, owner);
+    const handover = this.#handovers.get(block);
+    this.#handovers.delete(block);
+    handover?.reached('acquired');
+    handover?.reached('token drawn', { token });
+    owner.start(handover);
+  }
+
   /**
    * Before its end this process may have promised another to take nothing from it. Not if this node itself held the
    * block last, or nobody ever did: then there is nobody to be promised anything, and workers' leases are running out.
--- a/src/coordination/ownership/leader.ts
+++ b/src/coordination/ownership/leader.ts
@@ -2,6 +2,7 @@
 import { blockCount } from '../../bookkeeping/block-count';
 import { KEY, PREFIX, read, type BlockRecord } from '../../bookkeeping/records';
 import type { Guard } from '../../protocol/state';
+import { liveNodes, rankOwners } from './contenders';
 import { RecordSweep } from './record-sweep';
 import type { CloudView } from '../fleet/cloud-view';
 import type { NodeContext } from '../node-context';
@@ -54,39 +55,37 @@
 
   async #assign(): Promise<void> {
     const { cache, settings } = this.deps;
-    const nodes = [...cache.under(PREFIX.node)]
-      .sort((a, b) => a.version - b.version)
-      .map((e) => e.key.slice(PREFIX.node.length));
-    if (nodes.length === 0) return;
-    const blocks = blockCount(cache, settings);
-    const load = new Map(nodes.map((n) => [n, 0]));
+    const load = new Map(liveNodes(this.deps).map((node) => [node, 0]));
+    if (load.size === 0) return;
     const orphans: number[] = [];
-    for (let block = 0; block < blocks; block += 1) {
+    for (let block = 0; block < blockCount(cache, settings); block += 1) {
       const record = read.block(cache.get(KEY.block(block))?.value);
       if (record && this.#wantsBack(record, block, load)) {
         await this.#give(block, record.holder);
         return;
       }
       const held = record && load.get(record.owner);
-      if (record && held !== undefined) load.set(record.owner, held + 1);
+      if (record && held !== undefined && !this.#isStuck(block, record)) load.set(record.owner, held + 1);
       else orphans.push(block);
     }
     for (const block of orphans) {
-      const [owner] =
-        [...load].sort((a, b) => a[1] - b[1] || this.#staleness(a[0]) - this.#staleness(b[0]))[0] ?? [];
+      const [owner] = rankOwners(this.deps, block, load);
       if (owner === undefined) return;
-      if (!(await this.#give(block, owner))) return;
+      const isThere = read.block(cache.get(KEY.block(block))?.value)?.owner === owner;
+      if (!isThere && !(await this.#give(block, owner))) return;
       load.set(owner, (load.get(owner) ?? 0) + 1);
     }
     await this.#balance(load);
   }
 
   /**
-   * While the service is upgraded, a controller that is still to be restarted would soon lose its block again: among
-   * equals, blocks go to those that have been upgraded.
+   * Whether the controller that a block was assigned to is suspected before it has acquired it. Another may then be
+   * chosen at once, since nobody holds the lease: whichever acquires it first finds the record unchanged, or doesn't.
    */
-  #staleness(node: string): number {
-    return this.deps.formatGate.missing().includes(node) ? 1 : 0;
+  #isStuck(block: number, { owner }: BlockRecord): boolean {
+    const { suspicion, cache, node } = this.deps;
+    if (!suspicion || owner === node || cache.get(KEY.lease(block))) return false;
+    return suspicion.isSuspect(owner) && suspicion.mayMove(block);
   }
 
   /** After the end of all nodes the one that held the block last may take it at once; the others wait a while. */
@@ -97,17 +96,20 @@
   ): record is BlockRecord & { holder: string } {
     const { owner, holder } = record;
     if (!this.isYoung() || holder === undefined || holder === owner || !nodes.has(holder)) return false;
+    if (this.deps.suspicion?.isSuspect(holder)) return false;
     return this.deps.cache.get(KEY.lease(block)) === undefined;
   }
 
   /** After a death some node has more blocks than another that came back: one at a time, they are spread again. */
   async #balance(load: ReadonlyMap<string, number>): Promise<void> {
+    const { cache, settings, suspicion } = this.deps;
     const sorted = [...load].sort((a, b) => a[1] - b[1]);
-    const [least, most] = [sorted[0], sorted.at(-1)];
+    const least = sorted.find(([node]) => !suspicion?.isSuspect(node));
+    const most = sorted.at(-1);
     if (!least || !most || most[1] - least[1] < 2) return;
-    const { cache, settings } = this.deps;
     for (let block = 0; block < blockCount(cache, settings); block += 1) {
       if (read.block(cache.get(KEY.block(block))?.value)?.owner !== most[0]) continue;
+      if (suspicion?.mayMove(block) === false) continue;
       await this.#give(block, least[0]);
       return;
     }
--- a/src/coordination/ownership/lease-relay.ts
+++ b/src/coordination/ownership/lease-relay.ts
@@ -6,7 +6,8 @@
 import type { WatchCache } from '../../bookkeeping/watch-cache';
 import type { Order, Report } from '../../protocol/model';
 import type { NodeContext } from '../node-context';
-import { PEER_TIMEOUT_MS, type PeerReachability } from '../../suspicion/peer-reachability';
+import { PEER_TIMEOUT_MS } from '../../suspicion/peer-liveness';
+import type { PeerReachability } from '../../suspicion/peer-reachability';
 
 /** How long a node goes on relaying after it last had a reason to. */
 const LINGER_MS = 3_000;
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -1,4 +1,5 @@
 import * as protobuf from 'protobufjs';
+import { readPeerView, writePeerView, type PeerView } from './peer-view';
 import definition from './peer.proto';
 import { codec } from './codec';
 import type { Event } from './state';
@@ -30,6 +31,10 @@
   jobs: JobProgress[];
   unheard: number[];
   turnedAway: { block: number; machines: number }[];
+  /** Absent with suspicion off at the sender, and from versions that know none. */
+  view?: PeerView;
+  /** The message held a view that can't be read. */
+  isViewMalformed?: boolean;
 }
 
 export type PeerMessage =
@@ -42,7 +47,9 @@
 
 export function writePeerMessage(message: PeerMessage): Uint8Array {
   if (message.kind === 'progress') {
-    return type.encode(type.fromObject({ progress: message.progress })).finish();
+    const { view, ...progress } = message.progress;
+    const fields = view === undefined ? progress : { ...progress, view: writePeerView(view) };
+    return type.encode(type.fromObject({ progress: fields })).finish();
   }
   if (message.kind === 'ask') return type.encode(type.fromObject({ ask: message.ask })).finish();
   if (message.kind === 'promise') return type.encode(type.fromObject({ promise: message.promise })).finish();
@@ -51,12 +58,18 @@
   return type.encode(type.fromObject({ nudge })).finish();
 }
 
+function readProgress({ view: raw, ...progress }: Omit<Progress, 'view'> & { view: unknown }): Progress {
+  if (raw === null || raw === undefined) return progress;
+  const view = readPeerView(raw);
+  return view ? { ...progress, view } : { ...progress, isViewMalformed: true };
+}
+
 /** Reads a peer's message; undefined when it is none of ours. */
 export function readPeerMessage(bytes: Uint8Array): PeerMessage | undefined {
   try {
     const message = type.toObject(type.decode(bytes), { longs: Number, defaults: true }) as {
       nudge: { key: string; version: number; deleted: boolean; value: Uint8Array } | null;
-      progress: Progress | null;
+      progress: (Omit<Progress, 'view'> & { view: unknown }) | null;
       ask: LeaseExtensionRequest | null;
       promise: LeaseExtensionGrant | null;
     };
@@ -69,7 +82,7 @@
         : { key, version, deleted, value: codec.decode(value) };
       return { kind: 'nudge', event };
     }
-    return message.progress ? { kind: 'progress', progress: message.progress } : undefined;
+    return message.progress ? { kind: 'progress', progress: readProgress(message.progress) } : undefined;
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/src/suspicion/handover-trace.ts
@@ -0,0 +1,52 @@
+/** @file The named steps of a handover, each logged with its time and traced as events of a span. */
+import { trace, type Span } from '@opentelemetry/api';
+import type { Clock } from '../base/clock';
+import type { Log } from '../base/log';
+
+const TRACER = 'ironstream.suspicion';
+
+/** The steps of taking a block over, in their order. */
+export const TAKEOVER_STEPS = [
+  'chosen',
+  'acquired',
+  'token drawn',
+  'workers confirmed',
+  'orphaned jobs placed',
+] as const;
+/** The steps of giving a block up in order. */
+export const GIVE_UP_STEPS = ['stopped', 'drained', 'successor named'] as const;
+/** A step of either side of a handover. */
+export type HandoverStep = (typeof TAKEOVER_STEPS)[number] | (typeof GIVE_UP_STEPS)[number];
+
+/** Steps after which there is nothing more to come. */
+const LAST_STEPS: readonly HandoverStep[] = ['orphaned jobs placed', 'successor named'];
+
+/** Follows one side of one handover. A step that is reached again, because it was repeated, is not logged again. */
+export class HandoverTrace {
+  readonly #reached = new Set<HandoverStep>();
+  readonly #startedAt: number;
+  readonly #span: Span;
+
+  constructor(
+    private readonly block: number,
+    private readonly context: { readonly clock: Clock; readonly log: Log },
+  ) {
+    this.#startedAt = context.clock.now();
+    this.#span = trace.getTracer(TRACER).startSpan('handover', { attributes: { block } });
+  }
+
+  /** Whether every step is behind, or the handover was broken off. */
+  get isOver(): boolean {
+    return LAST_STEPS.some((step) => this.#reached.has(step));
+  }
+
+  /** A step is behind; `facts` go into its log line. */
+  reached(step: HandoverStep, facts: Readonly<Record<string, number | string>> = {}): void {
+    if (this.#reached.has(step) || this.isOver) return;
+    this.#reached.add(step);
+    const atMs = Math.round(this.context.clock.now() - this.#startedAt);
+    this.context.log.info({ block: this.block, step, atMs, ...facts }, 'handover');
+    this.#span.addEvent(step, { 'handover.at_ms': atMs });
+    if (this.isOver) this.#span.end();
+  }
+}
--- /dev/null
+++ b/src/suspicion/move-limiter.ts
@@ -0,0 +1,36 @@
+/** @file Damping: a bound on how many blocks suspicion moves in a minute. */
+
+const WINDOW_MS = 60_000;
+/** A block that moved is not given up again by choice for so long. */
+const SETTLING_MS = 15_000;
+
+/**
+ * Counts the changes of owner that this controller sees in the records, whoever made them, so that a controller that
+ * flaps does not swing blocks about. What follows from the end of a lease is not bounded: a block without an owner always
+ * gets one.
+ */
+export class MoveLimiter {
+  /** Steady times of the moves within the window. */
+  #moves: number[] = [];
+  readonly #movedAt = new Map<number, number>();
+  readonly #owners = new Map<number, string>();
+
+  constructor(private readonly movesPerMinute: number) {}
+
+  /** The record of a block names an owner. */
+  onOwner(block: number, owner: string, now: number): void {
+    const before = this.#owners.get(block);
+    this.#owners.set(block, owner);
+    if (before === undefined || before === owner) return;
+    this.#movedAt.set(block, now);
+    this.#moves = this.#moves.filter((at) => now - at < WINDOW_MS);
+    this.#moves.push(now);
+  }
+
+  /** Whether suspicion may move this block now. */
+  allows(block: number, now: number): boolean {
+    const recent = this.#moves.filter((at) => now - at < WINDOW_MS).length;
+    const hasSettled = now - (this.#movedAt.get(block) ?? -Infinity) >= SETTLING_MS;
+    return hasSettled && recent < this.movesPerMinute;
+  }
+}
--- /dev/null
+++ b/src/suspicion/options.ts
@@ -0,0 +1,100 @@
+/** @file The operators' settings of suspicion: the table `[suspicion]` of their options file. */
+import * as z from 'zod';
+import { SettingsError, type Settings } from '../base/settings';
+
+/** Time between two heartbeats of a controller (the periodic `Progress` message), in milliseconds. */
+export const HEARTBEAT_MS = 1_000;
+const MS_PER_S = 1_000;
+/** A fixed timeout has to outlast one lost heartbeat. */
+const LEAST_TIMEOUT_S = 1.5;
+
+/** The table as it may stand in the options file; a file without it leaves suspicion off. */
+export const suspicionSchema = z.strictObject({
+  enabled: z.boolean(),
+  /** `phi` adapts to each peer's heartbeats; `fixed` goes by `timeout_s` alone. */
+  detector: z.enum(['phi', 'fixed']).default('phi'),
+  /** A peer is suspected when the chance that its heartbeat is merely late is below 10 to the power of minus this. */
+  phi_threshold: z.number().min(1).max(16).default(8),
+  /** The least standard deviation that heartbeat intervals are taken to have. */
+  min_deviation_s: z.number().positive().max(5).default(0.2),
+  /** Silence after which a peer is suspected while too few of its heartbeats are known, or with `fixed`. */
+  timeout_s: z.number().min(LEAST_TIMEOUT_S).max(60).default(2.5),
+  /** A pause of this process that counts as a stall. */
+  stall_s: z.number().positive().max(60).default(1.5),
+  /** So many stalls within the window make a controller give its blocks up. */
+  stalls: z.int().min(1).max(100).default(3),
+  stall_window_s: z.number().positive().max(600).default(30),
+  /** A controller that most peers suspect for so long, though it hears them, gives its blocks up. */
+  give_up_after_s: z.number().positive().max(60).default(3),
+  /** Blocks that suspicion may move in a minute. */
+  moves_per_minute: z.int().min(0).max(60).default(4),
+  /** A controller that returned gets no block by choice for so long. */
+  probation_s: z.number().min(0).max(600).default(10),
+  /** Writes spans of handovers to the log. */
+  trace: z.boolean().default(false),
+});
+
+/** The checked table. */
+export type SuspicionTable = z.infer<typeof suspicionSchema>;
+
+/** What suspicion goes by. Times in milliseconds. */
+export interface SuspicionOptions {
+  readonly detector: 'phi' | 'fixed';
+  readonly phiThreshold: number;
+  readonly minDeviationMs: number;
+  readonly timeoutMs: number;
+  readonly stallMs: number;
+  readonly stalls: number;
+  readonly stallWindowMs: number;
+  readonly giveUpAfterMs: number;
+  readonly movesPerMinute: number;
+  readonly probationMs: number;
+  /** Spans of handovers are written to the log. */
+  readonly isTraced: boolean;
+}
+
+/** Reads and checks the table; undefined when suspicion is off. Throws `SettingsError` with the file and the key. */
+export function readSuspicionOptions({
+  operator,
+  operatorFile,
+  blockLeaseMs,
+}: Settings): SuspicionOptions | undefined {
+  if (operator.suspicion === undefined) return undefined;
+  const parsed = suspicionSchema.safeParse(operator.suspicion);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const path = ['suspicion', ...(issue?.path ?? [])].join('.');
+    throw new SettingsError(`${operatorFile}: ${path}: ${issue?.message ?? 'invalid'}`);
+  }
+  const problem = contradiction(parsed.data, blockLeaseMs / MS_PER_S);
+  if (problem !== undefined) throw new SettingsError(`${operatorFile}: suspicion.${problem}`);
+  return parsed.data.enabled ? toOptions(parsed.data) : undefined;
+}
+
+/** What doesn't go together, with the key at fault; `blockLeaseS` is the lease that follows from the settings. */
+function contradiction(table: SuspicionTable, blockLeaseS: number): string | undefined {
+  // The end of the lease is the verdict: a suspicion or a handover that comes after it says nothing.
+  const mustPrecedeVerdict = ['timeout_s', 'stall_s', 'give_up_after_s', 'min_deviation_s'] as const;
+  const late = mustPrecedeVerdict.find((key) => table[key] >= blockLeaseS);
+  if (late !== undefined) return `${late}: must be smaller than the block lease, ${blockLeaseS} s`;
+  if (table.stall_window_s < table.stalls * table.stall_s) {
+    return 'stall_window_s: must hold as many stalls of stall_s as stalls asks for';
+  }
+  return undefined;
+}
+
+function toOptions(table: SuspicionTable): SuspicionOptions {
+  return {
+    detector: table.detector,
+    phiThreshold: table.phi_threshold,
+    minDeviationMs: table.min_deviation_s * MS_PER_S,
+    timeoutMs: table.timeout_s * MS_PER_S,
+    stallMs: table.stall_s * MS_PER_S,
+    stalls: table.stalls,
+    stallWindowMs: table.stall_window_s * MS_PER_S,
+    giveUpAfterMs: table.give_up_after_s * MS_PER_S,
+    movesPerMinute: table.moves_per_minute,
+    probationMs: table.probation_s * MS_PER_S,
+    isTraced: table.trace,
+  };
+}
--- a/src/suspicion/peer-reachability.ts
+++ b/src/suspicion/peer-reachability.ts
@@ -1,11 +1,10 @@
 /** @file Which peers, and which of their workers, this node takes for reachable. */
 import type { Clock } from '../base/clock';
 import type { Progress } from '../protocol/peers';
+import type { PeerLiveness } from './peer-liveness';
 
 /** How long a peer's message, or a report that was redirected, counts. */
 const MEMORY_MS = 6_000;
-/** Peers send a message about once a second: one that sent none for longer may be unreachable. */
-export const PEER_TIMEOUT_MS = 2_500;
 /** An owner that receives nothing from this share of its workers, while another node does, hands over its block. */
 const UNREACHABLE_SHARE = 0.7;
 /** Fewer machines than this say nothing about the node. */
@@ -17,12 +16,16 @@
  * it: their leases would run out.
  */
 export class PeerReachability {
-  readonly #peers = new Map<string, { at: number; progress: Progress }>();
+  readonly #peers = new Map<string, Progress>();
   readonly #redirected = new Map<string, { block: number; at: number }>();
   #heardAt = -Infinity;
   #freshPeerAt = -Infinity;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Whether a peer is heard at all. */
+    private readonly liveness: PeerLiveness,
+  ) {}
 
   /** A machine reported here although another node owns its block. */
   recordRedirect(machine: string, block: number): void {
@@ -34,7 +37,8 @@
     const now = this.clock.now();
     this.#heardAt = now;
     if (progress.fresh) this.#freshPeerAt = now;
-    this.#peers.set(progress.from, { at: now, progress });
+    this.#peers.set(progress.from, progress);
+    this.liveness.onProgress(progress);
   }
 
   /** Steady time of the latest periodic message of any peer. */
@@ -60,9 +64,9 @@
 
   /** Whether a worker may be redirected to the owner of its block. */
   reaches(owner: string, block: number): boolean {
-    const peer = this.#peers.get(owner);
-    if (!peer || this.clock.now() - peer.at > PEER_TIMEOUT_MS) return false;
-    return !peer.progress.unheard.includes(block);
+    const progress = this.#peers.get(owner);
+    if (!progress || this.liveness.isSilent(owner)) return false;
+    return !progress.unheard.includes(block);
   }
 
   /**
@@ -71,11 +75,10 @@
    */
   successor(block: number, machines: number, unreachable: number): string | undefined {
     if (!areMostUnreachable(machines, unreachable)) return undefined;
-    const now = this.clock.now();
     let best: { node: string; heard: number } | undefined;
     let heard = 0;
-    for (const [node, { at, progress }] of this.#peers) {
-      if (now - at > PEER_TIMEOUT_MS || !progress.fresh) continue;
+    for (const [node, progress] of this.#peers) {
+      if (this.liveness.isSilent(node) || !progress.fresh) continue;
       const here = progress.turnedAway.find((t) => t.block === block)?.machines ?? 0;
       heard += here;
       if (here > (best?.heard ?? 0)) best = { node, heard: here };
