The right to act is asked again right before commands, rentals and returns leave

Need: a controller may stand still while a command waits for its connection, or a return of machines for its turn inside the cloud's rate. What it had decided before left after it woke, though the block was another's by then: a return could end tasks that the new owner had placed. Change: HTTP calls take mayLeave, asked when the connection is there and before the first byte; the cloud's client asks after its turn and throws RightEnded. Typed commands and cloud calls in place of long parameter lists.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -67,7 +67,6 @@
   'max-params': [
     'src/bookkeeping/session.ts',
     'src/bookkeeping/watch-cache.ts',
-    'src/coordination/block/commands.ts',
     'src/coordination/block/machine.ts',
     'src/main.ts',
     'src/protocol/state.ts',
@@ -81,7 +80,6 @@
     'src/base/settings.ts',
     'src/bookkeeping/records.ts',
     'src/cli/program.ts',
-    'src/coordination/block/commands.ts',
     'src/coordination/scheduling/eager.ts',
     'src/coordination/block/machine.ts',
     'src/protocol/cloud.ts',
@@ -110,7 +108,6 @@
     'src/coordination/block/block-owner.ts',
     'src/coordination/block/block.ts',
     'src/coordination/block/commander.ts',
-    'src/coordination/block/commands.ts',
     'src/coordination/block/dispatch-table.ts',
     'src/coordination/scheduling/eager.ts',
     'src/coordination/block/holdings.ts',
--- a/src/coordination/block/commander.ts
+++ b/src/coordination/block/commander.ts
@@ -140,7 +140,14 @@
     }
     this.#out.add(machine);
     const session = machine.session > 0 ? machine.session : machine.sessionHint;
-    void sendCommand(this.deps.workers, machine.record.address, this.block.token, session, orders)
+    const command = {
+      address: machine.record.address,
+      token: this.block.token,
+      session,
+      orders,
+      mayLeave: () => this.block.entitled,
+    };
+    void sendCommand(this.deps.workers, command)
       .then((result) => {
         this.#out.delete(machine);
         this.#askedLately.delete(machine);
--- a/src/coordination/block/commands.ts
+++ b/src/coordination/block/commands.ts
@@ -1,7 +1,9 @@
+/** @file Commands to workers. */
 import type { Order, Report } from '../../protocol/model';
 import { parseReport, writeCommand } from '../../protocol/workers';
 import { NoAnswer, type HttpCaller } from '../../transport/http-client';
 
+/** What became of a command. */
 export type CommandResult =
   | { kind: 'done'; report: Report }
   /** Not executed: token or session did not match. */
@@ -12,16 +14,22 @@
 
 const TIMEOUT_MS = 2_000;
 
+/** A command to a worker, and under what it is sent. */
+export interface Command {
+  readonly address: string;
+  readonly token: number;
+  readonly session: number;
+  readonly orders: readonly Order[];
+  /** Whether the sender still has the right to act; asked right before the command leaves. */
+  mayLeave(): boolean;
+}
+
 /** Sends orders straight to a worker. */
-export async function sendCommand(
-  http: HttpCaller,
-  address: string,
-  token: number,
-  session: number,
-  orders: readonly Order[],
-): Promise<CommandResult> {
+export async function sendCommand(http: HttpCaller, command: Command): Promise<CommandResult> {
+  const { address, token, session, orders } = command;
+  const body = writeCommand(token, session, orders);
   try {
-    const answer = await http.call(address, 'POST', '/do', writeCommand(token, session, orders), TIMEOUT_MS);
+    const answer = await http.call(address, 'POST', '/do', body, TIMEOUT_MS, () => command.mayLeave());
     const report = parseReport(answer.body);
     if (answer.status === 200 && report) return { kind: 'done', report };
     if (answer.status === 409 || answer.status === 400) return { kind: 'refused', report };
--- a/src/coordination/fleet/fleet-manager.ts
+++ b/src/coordination/fleet/fleet-manager.ts
@@ -120,7 +120,10 @@
     const batch = leaving.slice(0, MAX_RELEASE);
     // From here on the machine may disappear at any moment, whatever the cloud answers: it is never used again.
     for (const machine of batch) machine.releasing = true;
-    await this.deps.cloud.release(batch.map((m) => m.id));
+    await this.deps.cloud.release(
+      batch.map((m) => m.id),
+      () => this.fleet.entitled,
+    );
     for (const machine of batch) {
       this.deps.log.info({ machine: machine.id, why: machine.leaving }, 'machine returned');
       this.fleet.machineGone(machine);
@@ -168,7 +171,7 @@
     };
     for (let attempt = 1; attempt <= RENT_TRIES && !signal.aborted && this.fleet.entitled; attempt += 1) {
       try {
-        const ids = await this.deps.cloud.rent(request);
+        const ids = await this.deps.cloud.rent(request, () => this.fleet.entitled);
         this.deps.log.info({ ...request, ids }, 'machines rented');
         const rentedAt = this.deps.clock.date().getTime();
         for (const id of ids) this.#unrecorded.set(id, { ...rental, rentedAt, isUp: false });
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -62,6 +62,21 @@
   }
 }
 
+/** The caller's right to act ended while its request waited for a turn inside the rate; nothing was sent. */
+export class RightEnded extends Error {
+  override name = 'RightEnded';
+}
+
+/** One request to the cloud. */
+interface CloudCall<T> {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly schema: z.ZodType<T>;
+  /** Asked right before the request leaves; left out where no right is needed. */
+  readonly mayAct?: () => boolean;
+}
+
 /** The cloud's interface, held inside its rate. A malformed answer counts as none. */
 export class Cloud {
   constructor(
@@ -72,7 +87,7 @@
   ) {}
 
   async types(): Promise<MachineType[]> {
-    const { frames } = await this.#call('GET', '/flavors', undefined, flavors);
+    const { frames } = await this.#call({ method: 'GET', path: '/flavors', schema: flavors });
     return frames.map((f) => ({
       name: f.label,
       cpus: f.cpus,
@@ -87,14 +102,16 @@
     }));
   }
 
-  async rent(r: RentRequest): Promise<string[]> {
+  /** Rents machines; `mayAct` is asked right before the request leaves. Throws `RightEnded` when it says no. */
+  async rent(r: RentRequest, mayAct: () => boolean): Promise<string[]> {
     const body = { booking: r.name, frame: r.type, yard: r.zone, loaners: r.spot, number: r.count };
-    return (await this.#call('POST', '/hosts', body, rented)).hearths;
+    return (await this.#call({ method: 'POST', path: '/hosts', body, schema: rented, mayAct })).hearths;
   }
 
-  /** When this resolves, the machines and all that was on them are gone. */
-  async release(ids: readonly string[]): Promise<void> {
-    await this.#call('POST', '/hosts/release', { hearths: ids }, z.unknown());
+  /** When this resolves, the machines and all that was on them are gone. `mayAct` as for `rent`. */
+  async release(ids: readonly string[], mayAct: () => boolean): Promise<void> {
+    const body = { hearths: ids };
+    await this.#call({ method: 'POST', path: '/hosts/release', body, schema: z.unknown(), mayAct });
   }
 
   async list(): Promise<ListedMachine[]> {
@@ -102,7 +119,8 @@
     let after = '';
     for (;;) {
       const since = after === '' ? '' : `since=${encodeURIComponent(after)}&`;
-      const page = await this.#call('GET', `/hosts?${since}limit=${LIST_LIMIT}`, undefined, list);
+      const path = `/hosts?${since}limit=${LIST_LIMIT}`;
+      const page = await this.#call({ method: 'GET', path, schema: list });
       for (const m of page.hearths) {
         machines.push({
           id: m.nameId,
@@ -120,9 +138,12 @@
     }
   }
 
-  async #call<T>(method: string, path: string, body: unknown, schema: z.ZodType<T>): Promise<T> {
+  async #call<T>(request: CloudCall<T>): Promise<T> {
+    const { method, path, body, schema, mayAct = () => true } = request;
     await this.rate.take();
-    const answer = await this.http.call(this.address, method, path, body, this.timeoutMs);
+    // The turn may have come after a stall: a release decided before it could end what a new owner has placed since.
+    if (!mayAct()) throw new RightEnded(`cloud ${path}: the right to act has ended`);
+    const answer = await this.http.call(this.address, method, path, body, this.timeoutMs, mayAct);
     if (answer.status === 200) {
       const parsed = schema.safeParse(answer.body);
       if (parsed.success) return parsed.data;
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -27,8 +27,20 @@
   decode(bytes: Uint8Array): unknown;
 }
 
+/** Sends one request and waits for its answer. Throws `NoAnswer` when none that can be used comes in time. */
 export interface HttpCaller {
-  call(target: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
+  /**
+   * `mayLeave` is asked when the connection is there, right before the first byte is written: a process may stand still
+   * while it waits for a connection, and what it was entitled to send before may be another's to decide by then.
+   */
+  call(
+    target: string,
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    mayLeave?: () => boolean,
+  ): Promise<Answer>;
 }
 
 /** Keeps so many idle connections and no more, the last used: a fleet's, one a machine, could use up all sockets. */
@@ -99,7 +111,14 @@
     this.#agent.destroy();
   }
 
-  call(target: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer> {
+  call(
+    target: string,
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    mayLeave: () => boolean = () => true,
+  ): Promise<Answer> {
     return new Promise((resolve, reject) => {
       const [host, port] = target.split(':');
       const bytes = body === undefined ? undefined : this.codec.encode(body);
@@ -126,14 +145,14 @@
           if (!settled) fail(`nothing within ${timeoutMs} ms`);
         });
       }, timeoutMs);
+      const leave = (): void => {
+        // Node writes the request only after its listeners for this event have run.
+        if (!mayLeave()) fail('the right to send it has ended');
+        else connected = true;
+      };
       req.on('socket', (socket) => {
-        if (socket.connecting) {
-          socket.once('connect', () => {
-            connected = true;
-          });
-        } else {
-          connected = true;
-        }
+        if (socket.connecting) socket.once('connect', leave);
+        else leave();
       });
       req.on('error', (error) => {
         fail(error.message);
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -52,6 +52,8 @@
   readonly apart = new Set<string>();
   /** Pairs of controllers of which the second does not hear the first, as `a>b`. */
   readonly lostOneWay = new Set<string>();
+  /** Told of each answer that is about to reach a controller, by its index: the moment to stop its process. */
+  onAnswer: (index: number, request: { path: string; body: unknown }) => void = nothing;
   #names = 0;
 
   constructor(protected readonly options: WorldOptions) {
@@ -67,8 +69,14 @@
     const caller = this.network.caller(own.name);
     // What a process that was killed had under way ends with it.
     const outwards: HttpCaller = {
-      call: (...request) =>
-        process.isKilled ? new Promise(() => undefined) : process.reached(caller.call(...request)),
+      call: (...request) => {
+        if (process.isKilled) return new Promise(() => undefined);
+        const [, , path, body] = request;
+        const answered = caller.call(...request).finally(() => {
+          this.onAnswer(index, { path, body });
+        });
+        return process.reached(answered);
+      },
     };
     const outside = {
       clock: process,
