--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -74,7 +74,6 @@
   ],
   'jsdoc/require-jsdoc': [
     'src/base/clock.ts',
-    'src/base/log.ts',
     'src/base/loop.ts',
     'src/base/random.ts',
     'src/base/settings.ts',
@@ -93,7 +92,6 @@
   ],
   'jsdoc/require-file-overview': [
     'src/base/clock.ts',
-    'src/base/log.ts',
     'src/base/loop.ts',
     'src/base/random.ts',
     'src/base/settings.ts',
--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -1,15 +1,50 @@
+/** @file Structured log lines on standard error. */
 import pino from 'pino';
 
+/** Where the parts of a controller write their log lines. */
 export type Log = Pick<pino.Logger, 'error' | 'warn' | 'info' | 'debug'>;
 
-/** Structured lines on standard error. Times of day are written in full, so that lines of several nodes merge. */
-export function createLog(level: string, node?: string): pino.Logger {
+/** Keys that every line has already. */
+const RESERVED_KEYS = ['level', 'time', 'node', 'msg'] as const;
+
+/** What a line of this process writes of itself, apart from its message and its fields. */
+type Fields = Record<string, unknown>;
+
+/**
+ * The fields of a line without keys that the line has already: JSON with a key twice means different things to different
+ * readers. A field of that name with another value is kept under a name of its own.
+ */
+function withoutReservedKeys(fields: Fields, node: string | undefined): Fields {
+  const taken = RESERVED_KEYS.filter((key) => key in fields && (key !== 'node' || node !== undefined));
+  if (taken.length === 0) return fields;
+  const kept = Object.fromEntries(
+    Object.entries(fields).filter(([key]) => !taken.some((name) => name === key)),
+  );
+  for (const key of taken) if (key !== 'node' || fields[key] !== node) kept[`field_${key}`] = fields[key];
+  return kept;
+}
+
+/**
+ * Structured lines. Times of day are written in full, so that lines of several nodes merge. Standard error, unless a
+ * destination is given.
+ */
+export function createLog(
+  level: string,
+  node?: string,
+  destination: pino.DestinationStream = pino.destination({ dest: 2, sync: true }),
+): pino.Logger {
   return pino(
-    { level, base: node ? { node } : null, timestamp: pino.stdTimeFunctions.isoTime },
-    pino.destination({ dest: 2, sync: true }),
+    {
+      level,
+      base: node ? { node } : null,
+      timestamp: pino.stdTimeFunctions.isoTime,
+      formatters: { log: (fields) => withoutReservedKeys(fields, node) },
+    },
+    destination,
   );
 }
 
+/** The level that the environment asks for; `info` where it asks for none that is known. */
 export function levelFromEnv(value: string | undefined): string {
   return value === 'error' || value === 'debug' ? value : 'info';
 }
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -13,6 +13,7 @@
 import type { Connections } from '../transport/connections';
 import { HttpClient } from '../transport/http-client';
 import { createServer } from '../transport/http-server';
+import { readSuspicionOptions } from '../suspicion/options';
 import { listenForPeers, PeerSender } from '../transport/peer-link';
 import type * as Tracing from './tracing';
 
@@ -51,7 +52,8 @@
   const admission = readAdmissionOptions(settings);
   const log = createLog(levelFromEnv(process.env.LOG_LEVEL), platform.node);
   for (const warning of settings.warnings) log.warn(warning);
-  if (admission?.isTraced) startTracing(log);
+  const suspicion = readSuspicionOptions(settings);
+  if (admission?.isTraced || suspicion?.isTraced) startTracing(log);
   // A process never ends by itself: what no loop caught is logged, and the loops go on.
   process.on('uncaughtException', (error) => {
     log.error({ err: describe(error), stack: error.stack }, 'uncaught');
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -68,6 +68,15 @@
       use: 'health',
       handle: () => ({ status: node.ready ? 200 : 503, body: { ready: node.ready } }),
     },
+    {
+      method: 'GET',
+      url: '/peers',
+      use: 'users',
+      handle: () => {
+        const report = node.peersReport();
+        return report ? { status: 200, body: report } : refused(404, 'suspicion is off');
+      },
+    },
     {
       method: 'POST',
       url: '/work',
--- a/src/suspicion/options.ts
+++ b/src/suspicion/options.ts
@@ -1,6 +1,7 @@
 /** @file The operators' settings of suspicion: the table `[suspicion]` of their options file. */
 import * as z from 'zod';
 import { SettingsError, type Settings } from '../base/settings';
+import { silenceFor } from './phi';
 
 /** Time between two heartbeats of a controller (the periodic `Progress` message), in milliseconds. */
 export const HEARTBEAT_MS = 1_000;
@@ -71,6 +72,27 @@
   return parsed.data.enabled ? toOptions(parsed.data) : undefined;
 }
 
+/** What follows from the settings, for `check-config`; null when suspicion is off. Times in milliseconds. */
+export function describeSuspicion(settings: Settings): (SuspicionOptions & SuspicionTimes) | null {
+  const options = readSuspicionOptions(settings);
+  if (!options) return null;
+  const { minDeviationMs, phiThreshold, timeoutMs, detector } = options;
+  const regular = { meanMs: HEARTBEAT_MS, deviationMs: minDeviationMs };
+  return {
+    ...options,
+    suspectedAfterMs: detector === 'fixed' ? timeoutMs : silenceFor(phiThreshold, regular),
+    verdictAfterMs: settings.blockLeaseMs,
+  };
+}
+
+/** How long it takes, for peers whose heartbeats are regular. */
+interface SuspicionTimes {
+  /** From the last heartbeat to the suspicion. */
+  readonly suspectedAfterMs: number;
+  /** From the last renewal to the end of the lease, which is the verdict. */
+  readonly verdictAfterMs: number;
+}
+
 /** What doesn't go together, with the key at fault; `blockLeaseS` is the lease that follows from the settings. */
 function contradiction(table: SuspicionTable, blockLeaseS: number): string | undefined {
   // The end of the lease is the verdict: a suspicion or a handover that comes after it says nothing.
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -16,10 +16,12 @@
 
 const nothing = (): void => undefined;
 
+const print: (...line: unknown[]) => void = process.env.STORY_LOG ? console.log : nothing;
+
 const quiet = {
   error: nothing,
   warn: nothing,
-  info: process.env.STORY_LOG ? console.log : nothing,
+  info: print,
   debug: nothing,
 };
 
@@ -54,6 +56,8 @@
   readonly lostOneWay = new Set<string>();
   /** Told of each answer that is about to reach a controller, by its index: the moment to stop its process. */
   onAnswer: (index: number, request: { path: string; body: unknown }) => void = nothing;
+  /** Told of each line of level info, by the index of the controller that wrote it. */
+  onLog: (index: number, fields: Record<string, unknown>, message: string) => void = nothing;
   #names = 0;
 
   constructor(protected readonly options: WorldOptions) {
@@ -78,6 +82,10 @@
         return process.reached(answered);
       },
     };
+    const info = (fields: unknown, message?: string): void => {
+      quiet.info(fields, message);
+      this.onLog(index, fields as Record<string, unknown>, message ?? '');
+    };
     const outside = {
       clock: process,
       startedAt: this.clock.now(),
@@ -87,7 +95,7 @@
           return `booking-${this.#names}`;
         },
       },
-      log: quiet,
+      log: { ...quiet, info },
       http: outwards,
       workers: outwards,
       broadcast: (bytes: Uint8Array): void => {
--- /dev/null
+++ b/test/suspicion-messages.test.ts
@@ -0,0 +1,179 @@
+/** @file Peer messages with views: their wire form, and those that are dropped, counted and logged once. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RateLimit } from '../src/transport/rate-limit';
+import { LIVE } from '../src/bookkeeping/records';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
+import type { PeerView } from '../src/protocol/peer-view';
+import { readPeerMessage, writePeerMessage, type Progress } from '../src/protocol/peers';
+import { HttpStateStore } from '../src/protocol/state';
+import { suspicionSchema } from '../src/suspicion/options';
+import { Suspicion } from '../src/suspicion/suspicion';
+import { FakeClock } from './fakes/clock';
+import { World } from './fakes/world';
+import { SUSPICION_ON } from './suspicion-steps';
+
+const VIEW: PeerView = {
+  run: 12,
+  incarnation: 2,
+  isStalled: true,
+  opinions: [
+    {
+      node: 'node-1',
+      status: 'suspected',
+      reason: 'no heartbeat',
+      forMs: 800,
+      run: 9,
+      incarnation: 1,
+      heardMsAgo: 2_900,
+    },
+    {
+      node: 'node-2',
+      status: 'unknown',
+      reason: 'none',
+      forMs: 0,
+      run: 0,
+      incarnation: 0,
+      heardMsAgo: undefined,
+    },
+  ],
+};
+
+const PROGRESS: Progress = { from: 'node-0', fresh: true, jobs: [], unheard: [], turnedAway: [] };
+
+test('a view comes back from the wire as it was; a message without one has none', () => {
+  const message = { kind: 'progress' as const, progress: { ...PROGRESS, view: VIEW } };
+  assert.deepEqual(readPeerMessage(writePeerMessage(message)), message);
+  const without = { kind: 'progress' as const, progress: PROGRESS };
+  assert.deepEqual(readPeerMessage(writePeerMessage(without)), without);
+});
+
+test('a status or reason that this version does not know makes the view malformed, not the message', () => {
+  const bytes = writePeerMessage({ kind: 'progress', progress: { ...PROGRESS, view: VIEW } });
+  // The status of the first opinion: field 2 of Opinion, a varint.
+  const name = Buffer.from(bytes).indexOf('node-1');
+  const changed = Buffer.from(bytes);
+  assert.deepEqual([...changed.subarray(name + 6, name + 8)], [0x10, 2]);
+  changed[name + 7] = 99;
+  const read = readPeerMessage(changed);
+  assert.ok(read?.kind === 'progress');
+  assert.deepEqual([read.progress.isViewMalformed, read.progress.view], [true, undefined]);
+});
+
+/** Suspicion of node-0, with what it logged. */
+function suspicionAlone(): { suspicion: Suspicion; warnings: string[] } {
+  const clock = new FakeClock();
+  const unreachable = { call: () => new Promise<never>(() => undefined) };
+  const limit = new RateLimit(clock, 100, 100);
+  const cache = new WatchCache(
+    new HttpStateStore(unreachable, 'state', limit, limit, 1_000),
+    LIVE,
+    clock,
+    1_000,
+    100,
+  );
+  const warnings: string[] = [];
+  const log = {
+    error: () => undefined,
+    info: () => undefined,
+    debug: () => undefined,
+    warn: (fields: { reason?: string }) => warnings.push(fields.reason ?? ''),
+  };
+  const options = suspicionSchema.parse({ enabled: true });
+  const world = { node: 'node-0', peers: ['node-1', 'node-2'], clock, cache, log: log as never };
+  const times = {
+    timeoutMs: 2_500,
+    stallMs: 1_500,
+    stallWindowMs: 30_000,
+    giveUpAfterMs: 3_000,
+    probationMs: 10_000,
+  };
+  const suspicion = new Suspicion(world, {
+    ...times,
+    detector: options.detector,
+    phiThreshold: options.phi_threshold,
+    minDeviationMs: 200,
+    stalls: options.stalls,
+    movesPerMinute: options.moves_per_minute,
+    isTraced: false,
+  });
+  return { suspicion, warnings };
+}
+
+const fromPeer = (view: Partial<PeerView>, fields: Partial<Progress> = {}): Progress => ({
+  ...PROGRESS,
+  from: 'node-1',
+  view: { ...VIEW, opinions: [], ...view },
+  ...fields,
+});
+
+test('messages of unknown nodes, of earlier runs and incarnations, and malformed ones are dropped and counted', () => {
+  const { suspicion, warnings } = suspicionAlone();
+  const take = (progress: Progress): boolean => {
+    const isAccepted = suspicion.accepts(progress);
+    if (isAccepted) suspicion.onProgress(progress);
+    return isAccepted;
+  };
+  assert.equal(take(fromPeer({ run: 12, incarnation: 2 })), true);
+  assert.equal(take(fromPeer({ run: 12, incarnation: 2 })), true);
+  assert.equal(take(fromPeer({ run: 12, incarnation: 1 })), false);
+  assert.equal(take(fromPeer({ run: 11, incarnation: 9 })), false);
+  assert.equal(take(fromPeer({ run: 13, incarnation: 0 })), true, 'a new run begins with a low incarnation');
+  assert.equal(take(fromPeer({ run: 0 })), true, 'a peer without a session says nothing of its run');
+  assert.equal(take({ ...PROGRESS, from: 'node-2' }), true, 'a version without views');
+  assert.equal(take(fromPeer({}, { from: 'node-9' })), false);
+  const onStranger = VIEW.opinions.map((opinion) => ({ ...opinion, node: 'node-9' }));
+  assert.equal(take(fromPeer({ run: 13, opinions: onStranger })), false);
+  assert.equal(take({ ...PROGRESS, from: 'node-2', isViewMalformed: true }), false);
+  assert.equal(take({ ...PROGRESS, from: 'node-2', isViewMalformed: true }), false);
+  assert.deepEqual(suspicion.report().rejected, {
+    'earlier incarnation': 1,
+    'earlier run': 1,
+    'unknown node': 2,
+    'malformed view': 2,
+  });
+  assert.deepEqual(warnings.sort(), ['earlier incarnation', 'earlier run', 'malformed view', 'unknown node']);
+});
+
+test('a suspect refutes with a higher incarnation; a suspicion of an earlier run is not its own', () => {
+  const { suspicion } = suspicionAlone();
+  const suspects = (incarnation: number): Progress =>
+    fromPeer({
+      opinions: [
+        {
+          node: 'node-0',
+          status: 'suspected',
+          reason: 'no heartbeat',
+          forMs: 1,
+          run: 0,
+          incarnation,
+          heardMsAgo: 1,
+        },
+      ],
+    });
+  suspicion.onProgress(suspects(0));
+  assert.equal(suspicion.view().incarnation, 1);
+  suspicion.onProgress(suspects(0));
+  assert.equal(suspicion.view().incarnation, 1);
+  suspicion.onProgress(suspects(7));
+  assert.equal(suspicion.view().incarnation, 8);
+});
+
+test('garbage over the peer link changes nothing: no block moves, and every controller goes on', async () => {
+  const world = new World({ operator: SUSPICION_ON });
+  const owner = await world.untilOwned();
+  await world.clock.advance(10_000);
+  const forged = { ...PROGRESS, from: `node-${owner}`, view: { ...VIEW, run: 1, opinions: [] } };
+  for (let second = 0; second < 20; second += 1) {
+    for (const { node } of world.controllers) {
+      node.onPeerFrame(Buffer.from([0x12, 0xff, 0xff, 0x01]));
+      node.onPeerFrame(Buffer.from(writePeerMessage({ kind: 'progress', progress: forged })));
+    }
+    await world.clock.advance(1_000);
+  }
+  assert.equal(world.owner, owner);
+  const report = world.controllers[(owner + 1) % 3]?.node.peersReport();
+  assert.ok(report);
+  assert.ok(report.rows.every(({ status }) => status === 'alive'));
+  assert.ok((report.rejected['earlier run'] ?? 0) >= 20);
+});
--- /dev/null
+++ b/test/suspicion-settings.test.ts
@@ -0,0 +1,156 @@
+/** @file The operators' settings of suspicion, what follows from them, and the command that shows peers. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { parse } from 'smol-toml';
+import { makeSettings, SettingsError, type Settings } from '../src/base/settings';
+import { createProgram } from '../src/cli/program';
+import { peersTable } from '../src/cli/peers-table';
+import { codec } from '../src/protocol/codec';
+import { describeSuspicion, readSuspicionOptions } from '../src/suspicion/options';
+import type { PeersReport } from '../src/suspicion/peers-report';
+import { controllerSettings } from './fakes/controller-settings';
+import { World } from './fakes/world';
+import { SUSPICION_ON } from './suspicion-steps';
+
+function settingsWith(suspicion: unknown): Settings {
+  const { platform } = controllerSettings(0, {}, 1);
+  return makeSettings(platform, { suspicion }, ['settings.toml', 'options.toml']);
+}
+
+test('suspicion is off unless the options file has it, and off when it says so', () => {
+  assert.equal(readSuspicionOptions(settingsWith(undefined)), undefined);
+  assert.equal(readSuspicionOptions(settingsWith({ enabled: false })), undefined);
+  assert.equal(describeSuspicion(settingsWith({ enabled: false })), null);
+});
+
+test('the options file that comes with the program is valid, and holds the defaults', () => {
+  const { suspicion } = parse(readFileSync('deploy/suspicion.toml', 'utf8'));
+  assert.deepEqual(
+    readSuspicionOptions(settingsWith(suspicion)),
+    readSuspicionOptions(settingsWith({ enabled: true })),
+  );
+});
+
+test('check-config tells when a peer is suspected, and when the verdict falls', () => {
+  const usual = describeSuspicion(settingsWith({ enabled: true }));
+  assert.equal(usual?.verdictAfterMs, 5_000);
+  assert.ok(usual.suspectedAfterMs > 2_000 && usual.suspectedAfterMs < 2_300, `${usual.suspectedAfterMs}`);
+  const fixed = describeSuspicion(settingsWith({ enabled: true, detector: 'fixed', timeout_s: 3 }));
+  assert.equal(fixed?.suspectedAfterMs, 3_000);
+});
+
+for (const [what, suspicion, key] of [
+  ['a timeout that is no longer than a heartbeat', { enabled: true, timeout_s: 1 }, 'suspicion.timeout_s'],
+  ['a timeout beyond the verdict', { enabled: true, timeout_s: 5 }, 'suspicion.timeout_s'],
+  ['a stall as long as the lease', { enabled: true, stall_s: 5 }, 'suspicion.stall_s'],
+  ['giving up after the verdict', { enabled: true, give_up_after_s: 6 }, 'suspicion.give_up_after_s'],
+  ['a window too short for its stalls', { enabled: true, stalls: 30 }, 'suspicion.stall_window_s'],
+  ['a threshold of zero', { enabled: true, phi_threshold: 0 }, 'suspicion.phi_threshold'],
+  ['a threshold that is not finite', { enabled: true, phi_threshold: Infinity }, 'suspicion.phi_threshold'],
+  ['a negative bound on moves', { enabled: true, moves_per_minute: -1 }, 'suspicion.moves_per_minute'],
+  ['half a stall', { enabled: true, stalls: 0.5 }, 'suspicion.stalls'],
+  ['an unknown detector', { enabled: true, detector: 'swim' }, 'suspicion.detector'],
+  ['an unknown key', { enabled: true, threshold: 8 }, 'suspicion: .*threshold'],
+  ['no switch', { timeout_s: 3 }, 'suspicion.enabled'],
+  ['no table', 7, 'suspicion'],
+] as const) {
+  test(`a start is refused for ${what}, naming key and file`, () => {
+    assert.throws(
+      () => readSuspicionOptions(settingsWith(suspicion)),
+      (error) => error instanceof SettingsError && new RegExp(`^options.toml: ${key}`).test(error.message),
+    );
+  });
+}
+
+/** Runs the command line, and returns what it printed and its exit code. */
+async function runCommand(...args: string[]): Promise<{ output: string; errors: string; code: number }> {
+  const result = { output: '', errors: '', code: 0 };
+  const program = createProgram('none', {
+    print: (line) => {
+      result.output += `${line}\n`;
+    },
+    fail: (message, code) => {
+      result.errors += message;
+      result.code = code;
+    },
+  });
+  await program.parseAsync(['node', 'ironstream', ...args]);
+  return result;
+}
+
+/** A controller's answer to `GET /peers`, from the in-memory deployment. */
+async function reportOf(world: World, index: number): Promise<PeersReport> {
+  const answer = await world.ask(index, 'GET', '/peers');
+  assert.equal(answer.status, 200);
+  return answer.body as PeersReport;
+}
+
+test('GET /peers: the views of all controllers, with a suspect as each of them holds it', async () => {
+  const world = new World({ operator: SUSPICION_ON });
+  const owner = await world.untilOwned();
+  await world.clock.advance(15_000);
+  const [first = 0, second = 0] = [0, 1, 2].filter((index) => index !== owner);
+  const before = await reportOf(world, first);
+  assert.equal(before.rows.length, 6);
+  assert.ok(before.rows.every(({ status }) => status === 'alive'));
+  assert.ok(before.run > 0);
+  const thaw = world.freeze(owner);
+  await world.clock.advance(4_000);
+  const during = await reportOf(world, first);
+  const held = during.rows.filter(({ peer }) => peer === `node-${owner}`);
+  assert.deepEqual(
+    held.map(({ from, status, reason }) => `${from} ${status} ${reason}`).sort(),
+    [first, second].map((index) => `node-${index} suspected no heartbeat`).sort(),
+  );
+  thaw();
+  await world.clock.advance(2_500);
+  const after = await reportOf(world, first);
+  const refuted = after.rows.filter(({ from, peer }) => from === `node-${first}` && peer === `node-${owner}`);
+  assert.deepEqual(
+    refuted.map(({ status }) => status),
+    ['refuted'],
+  );
+  assert.ok((refuted[0]?.incarnation ?? 0) > 0, 'it refuted with a higher incarnation');
+});
+
+test('with suspicion off there is nothing to show', async () => {
+  const world = new World();
+  await world.untilOwned();
+  const answer = await world.ask(0, 'GET', '/peers');
+  assert.equal(answer.status, 404);
+  assert.deepEqual(answer.body, { error: 'suspicion is off' });
+});
+
+test('`peers` prints a table, or JSON for scripts; exit code 2 for a refusal, 3 for no answer', async () => {
+  const world = new World({ operator: SUSPICION_ON });
+  await world.untilOwned();
+  await world.clock.advance(15_000);
+  const report = await reportOf(world, 0);
+  let status = 200;
+  const server = createServer((request, response) => {
+    assert.equal(request.url, '/peers');
+    response.writeHead(status, { 'content-type': 'application/msgpack' });
+    response.end(codec.encode(status === 200 ? report : { error: 'suspicion is off' }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const table = await runCommand('peers', address);
+  assert.equal(table.code, 0);
+  assert.equal(table.output, `${peersTable(report)}\n`);
+  const lines = table.output.trimEnd().split('\n');
+  assert.match(lines[0] ?? '', /^node-0: run \d+, incarnation 0, stalls 0$/);
+  assert.match(lines[2] ?? '', /^FROM +PEER +STATUS/);
+  assert.equal(lines.length, 3 + report.rows.length);
+  const json = await runCommand('peers', address, '--json');
+  assert.deepEqual(JSON.parse(json.output), report);
+  status = 404;
+  const refused = await runCommand('peers', address);
+  assert.deepEqual([refused.code, refused.output], [2, '']);
+  assert.match(refused.errors, /404: suspicion is off/);
+  await new Promise((resolve) => server.close(resolve));
+  const down = await runCommand('peers', address);
+  assert.equal(down.code, 3);
+});
--- a/test/suspicion-steps.ts
+++ b/test/suspicion-steps.ts
@@ -43,6 +43,7 @@
   await world.clock.advance(6_000);
   const recorder = new OwnershipRecorder(world);
   await fault({ world, history: recorder, owner: world.owner });
+  if (!world.rules.cancellationWasAsked('req-2')) await world.cancel('req-2', await world.untilOwned());
   await world.noJobWaits(OVER_WITHIN_S);
   world.noRuleBroken();
   const history = recorder.finish();
