--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -71,7 +71,8 @@
     {
       method: 'GET',
       url: '/peers',
-      use: 'users',
+      // An operator asks when things go wrong: it is answered like the health probe.
+      use: 'health',
       handle: () => {
         const report = node.peersReport();
         return report ? { status: 200, body: report } : refused(404, 'suspicion is off');
--- a/test/load/stand-ins.ts
+++ b/test/load/stand-ins.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage } from 'node:http';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { systemClock } from '../../src/base/clock';
 import { codec } from '../../src/protocol/codec';
@@ -23,6 +23,7 @@
 /** The stand-ins' network: real sockets on the loopback range, one address a host. */
 export class Loopback implements WorldNetwork {
   readonly #http = new HttpClient(codec, { perHost: 2000, idle: () => 4000 }, 8 * 1024 * 1024);
+  readonly #servers: Server[] = [];
 
   attach(address: string, host: Host): void {
     const [ip, port] = address.split(':');
@@ -40,6 +41,16 @@
     });
     server.keepAliveTimeout = 120_000;
     server.listen(Number(port), ip);
+    this.#servers.push(server);
+  }
+
+  /** Ends all hosts, so that another deployment can use their addresses. */
+  close(): void {
+    this.#http.close();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   detach(): void {
