Suspicion: a block that nobody holds may be given anew at once; most means most of all other controllers

Need: a choice counts as a move, and a block that moved had to settle for 15 s, so a chosen owner that stalls before it has acquired was never replaced before its session ended. And where other controllers are away or run a version without views, a single one counted as most. Change: settling holds for blocks that are held; the bound on moves a minute for all. Votes are counted against all other controllers that the settings name.

--- a/src/coordination/block/block-owner.ts
+++ b/src/coordination/block/block-owner.ts
@@ -117,6 +117,7 @@
     if (this.stopped) return;
     this.#block.stopped = true;
     this.#stop.abort();
+    this.#handover?.abandon();
     this.deps.log.info({ block: this.block, token: this.#block.token, why }, 'block given up');
   }
 
--- a/src/coordination/ownership/block-acquisition.ts
+++ b/src/coordination/ownership/block-acquisition.ts
@@ -166,8 +166,10 @@
   /** A handover begins when this node is seen to be chosen, and is broken off when another is. */
   #followAssignment(block: number, isAssigned: boolean): void {
     if (!this.context.suspicion) return;
-    if (!isAssigned) this.#handovers.delete(block);
-    else if (!this.#handovers.has(block)) {
+    if (!isAssigned) {
+      this.#handovers.get(block)?.abandon();
+      this.#handovers.delete(block);
+    } else if (!this.#handovers.has(block)) {
       const handover = new HandoverTrace(block, this.context);
       handover.reached('chosen');
       this.#handovers.set(block, handover);
--- a/src/coordination/ownership/leader.ts
+++ b/src/coordination/ownership/leader.ts
@@ -85,7 +85,7 @@
   #isStuck(block: number, { owner }: BlockRecord): boolean {
     const { suspicion, cache, node } = this.deps;
     if (!suspicion || owner === node || cache.get(KEY.lease(block))) return false;
-    return suspicion.isSuspect(owner) && suspicion.mayMove(block);
+    return suspicion.isSuspect(owner) && suspicion.mayChooseAgain();
   }
 
   /** After the end of all nodes the one that held the block last may take it at once; the others wait a while. */
--- a/src/suspicion/give-up.ts
+++ b/src/suspicion/give-up.ts
@@ -27,13 +27,25 @@
   readonly run: number;
 }
 
-/** Whether more than half of the views that count suspect a controller; views of stalled controllers don't count. */
-export function isSuspectedByMost({ node, run }: Subject, views: ReadonlyMap<string, PeerView>): boolean {
-  const voters = [...views].filter(([from, view]) => from !== node && !view.isStalled);
-  const against = voters.filter(([, view]) =>
-    view.opinions.some((opinion) => opinion.node === node && opinion.run >= run && isSuspect(opinion.status)),
+/**
+ * Whether more than half of all other controllers suspect one. Those that are away, or of a version without views, don't
+ * vote and count all the same: the word of a single controller is not that of most. Views of stalled controllers don't
+ * count either.
+ */
+export function isSuspectedByMost(
+  { node, run }: Subject,
+  views: ReadonlyMap<string, PeerView>,
+  otherControllers: number,
+): boolean {
+  const against = [...views].filter(
+    ([from, view]) =>
+      from !== node &&
+      !view.isStalled &&
+      view.opinions.some(
+        (opinion) => opinion.node === node && opinion.run >= run && isSuspect(opinion.status),
+      ),
   );
-  return against.length * 2 > voters.length;
+  return against.length * 2 > otherControllers;
 }
 
 /** Why the controller should give its blocks up at this time; undefined: it should keep them. */
--- a/src/suspicion/handover-trace.ts
+++ b/src/suspicion/handover-trace.ts
@@ -35,7 +35,7 @@
     this.#span = trace.getTracer(TRACER).startSpan('handover', { attributes: { block } });
   }
 
-  /** Whether every step is behind, or the handover was broken off. */
+  /** Whether every step is behind. */
   get isOver(): boolean {
     return LAST_STEPS.some((step) => this.#reached.has(step));
   }
@@ -49,4 +49,9 @@
     this.#span.addEvent(step, { 'handover.at_ms': atMs });
     if (this.isOver) this.#span.end();
   }
+
+  /** The handover was broken off: another controller was chosen, or the block was lost again. */
+  abandon(): void {
+    if (!this.isOver) this.#span.addEvent('abandoned').end();
+  }
 }
--- a/src/suspicion/move-limiter.ts
+++ b/src/suspicion/move-limiter.ts
@@ -27,10 +27,14 @@
     this.#moves.push(now);
   }
 
-  /** Whether suspicion may move this block now. */
+  /** Whether suspicion may take this block from its owner now. */
   allows(block: number, now: number): boolean {
-    const recent = this.#moves.filter((at) => now - at < WINDOW_MS).length;
     const hasSettled = now - (this.#movedAt.get(block) ?? -Infinity) >= SETTLING_MS;
-    return hasSettled && recent < this.movesPerMinute;
+    return hasSettled && this.allowsAny(now);
+  }
+
+  /** Whether suspicion may move any block now: one that nobody holds needs no time to settle. */
+  allowsAny(now: number): boolean {
+    return this.#moves.filter((at) => now - at < WINDOW_MS).length < this.movesPerMinute;
   }
 }
--- a/src/suspicion/suspicion.ts
+++ b/src/suspicion/suspicion.ts
@@ -69,12 +69,12 @@
 
   /** One look at the peers and at this process; to be run in a loop. */
   async step(signal: AbortSignal): Promise<void> {
-    const { clock, cache, node } = this.context;
+    const { clock, cache, node, peers } = this.context;
     await clock.sleep(TICK_MS, signal);
     const now = clock.now();
     this.#run = Math.max(this.#run, cache.version(KEY.node(node)));
     this.#detector.tick(now, (peer) => this.#sessionOf(peer));
-    const isSuspected = isSuspectedByMost({ node, run: this.#run }, this.#detector.views);
+    const isSuspected = isSuspectedByMost({ node, run: this.#run }, this.#detector.views, peers.length);
     this.#suspectedSince = isSuspected ? (this.#suspectedSince ?? now) : undefined;
   }
 
@@ -143,14 +143,21 @@
     const run = node === this.context.node ? this.#run : (this.#detector.record(node)?.run ?? 0);
     const views = this.#detector.views;
     if (node === this.context.node) {
-      return this.#isStalled() || isSuspectedByMost({ node, run }, views);
+      return this.#isStalled() || isSuspectedByMost({ node, run }, views, this.context.peers.length);
     }
     const status = this.#detector.record(node)?.status ?? 'unknown';
     return (
-      isSuspect(status) || views.get(node)?.isStalled === true || isSuspectedByMost({ node, run }, views)
+      isSuspect(status) ||
+      views.get(node)?.isStalled === true ||
+      isSuspectedByMost({ node, run }, views, this.context.peers.length)
     );
   }
 
+  /** Whether damping allows a block that nobody holds to be given to another than was chosen. */
+  mayChooseAgain(): boolean {
+    return this.#moves.allowsAny(this.context.clock.now());
+  }
+
   /** Whether damping allows a block to be moved by choice at this moment. */
   mayMove(block: number): boolean {
     return this.#moves.allows(block, this.context.clock.now());
--- a/test/load/main.ts
+++ b/test/load/main.ts
@@ -29,6 +29,8 @@
     out: { type: 'string', default: 'target/load/run' },
     'no-profile': { type: 'boolean', default: false },
     'no-takeover': { type: 'boolean', default: false },
+    /** Suspicion of failed controllers is on. */
+    suspicion: { type: 'boolean', default: false },
   },
 });
 const machines = Number(args.machines);
@@ -44,6 +46,7 @@
   sockets: args.sockets,
   classes: ['small'],
   isProfiled: !args['no-profile'],
+  ...(args.suspicion ? { operatorToml: '[suspicion]\nenabled = true\n' } : {}),
 });
 const { nodes, http } = processes;
 /** What comes in a second for a thousand machines, which it fills about half. */
