Tests: a stall at each step of a handover, an owner that learns late that its lease is gone, spans of handovers

Need: taking the owner's stop out of an orderly handover went unseen by the tests; the stalls at steps were tried on the taking side only. Change: test/suspicion-handover.test.ts. Whoever logs a step stalls for 8 s at that moment, for all eight steps.

--- /dev/null
+++ b/test/suspicion-handover.test.ts
@@ -0,0 +1,123 @@
+/** @file Handovers that are held up: whoever has just done a step stands still for 8 s, on either side. */
+import assert from 'node:assert/strict';
+import { after, test } from 'node:test';
+import { context, trace } from '@opentelemetry/api';
+import {
+  InMemorySpanExporter,
+  SimpleSpanProcessor,
+  BasicTracerProvider,
+} from '@opentelemetry/sdk-trace-base';
+import {
+  GIVE_UP_STEPS,
+  HandoverTrace,
+  TAKEOVER_STEPS,
+  type HandoverStep,
+} from '../src/suspicion/handover-trace';
+import { FakeClock } from './fakes/clock';
+import { moveCount } from './fakes/ownership-history';
+import { freezeFor, othersThan, playFault, SUSPICION_ON, usersDuring, type Fault } from './suspicion-steps';
+
+const STALL_MS = 8_000;
+/** Short of the lease, and often enough for the owner to give its block up. */
+const SHORT_STALL_MS = 2_000;
+const SHORT_STALLS = 3;
+
+/** The owner gives its block up in order; whoever logs the step stalls at that moment. */
+function stallAt(step: HandoverStep): Fault {
+  return async (play) => {
+    const { world, owner } = play;
+    let stalled = -1;
+    world.onLog = (index, fields, message) => {
+      if (stalled >= 0 || message !== 'handover' || fields.step !== step) return;
+      stalled = index;
+      freezeFor(play, index, STALL_MS);
+    };
+    for (let stall = 0; stall < SHORT_STALLS; stall += 1) {
+      freezeFor(play, owner, SHORT_STALL_MS);
+      await world.clock.advance(SHORT_STALL_MS + 2_500);
+    }
+    for (let waited = 0; stalled < 0 && waited < 10_000; waited += 100) await world.clock.advance(100);
+    assert.ok(stalled >= 0, `nobody came to "${step}"`);
+    await usersDuring(world, othersThan(world, stalled).find((index) => index !== owner) ?? 0);
+    await world.clock.advance(STALL_MS + 10_000);
+  };
+}
+
+for (const step of [...GIVE_UP_STEPS, ...TAKEOVER_STEPS]) {
+  test(`who has just come to "${step}" stalls for 8 s: one owner at a time, and every job has one again`, async () => {
+    const { history } = await playFault(stallAt(step), { operator: SUSPICION_ON });
+    assert.ok(moveCount(history) >= 1);
+  });
+}
+
+test('the owner has stopped before its lease goes: it learns of that long after the successor has acquired it', async () => {
+  const { history } = await playFault(
+    async (play) => {
+      const { world, owner } = play;
+      world.onLog = (index, { step }, message) => {
+        if (message !== 'handover' || index !== owner || step !== 'drained') return;
+        // Whatever the state service tells this controller from now on comes late.
+        const end = world.state.rule(({ from }) =>
+          from === `node-${owner}` ? { slowMs: 1_400 } : undefined,
+        );
+        world.clock.after(4_000, end);
+      };
+      for (let stall = 0; stall < SHORT_STALLS; stall += 1) {
+        freezeFor(play, owner, SHORT_STALL_MS);
+        await world.clock.advance(SHORT_STALL_MS + 2_500);
+      }
+      await world.clock.advance(10_000);
+    },
+    { operator: SUSPICION_ON },
+  );
+  assert.equal(moveCount(history), 1);
+});
+
+/** Registers a provider whose spans end up in memory. */
+function exportedSpans(): InMemorySpanExporter {
+  const exporter = new InMemorySpanExporter();
+  const provider = new BasicTracerProvider({ spanProcessors: [new SimpleSpanProcessor(exporter)] });
+  trace.setGlobalTracerProvider(provider);
+  after(() => {
+    trace.disable();
+    context.disable();
+  });
+  return exporter;
+}
+
+test('a handover is a span with an event for each step, which ends with the last or when it is broken off', async () => {
+  const exporter = exportedSpans();
+  const clock = new FakeClock();
+  const lines: unknown[] = [];
+  const nothing = (): void => undefined;
+  const log = {
+    error: nothing,
+    warn: nothing,
+    debug: nothing,
+    info: (fields: unknown) => lines.push(fields),
+  };
+  const handover = new HandoverTrace(3, { clock, log: log as never });
+  for (const step of TAKEOVER_STEPS) {
+    handover.reached(step);
+    handover.reached(step);
+    await clock.advance(250);
+  }
+  assert.equal(handover.isOver, true);
+  assert.equal(lines.length, TAKEOVER_STEPS.length, 'a step that is repeated is logged once');
+  const brokenOff = new HandoverTrace(4, { clock, log: log as never });
+  brokenOff.reached('chosen');
+  brokenOff.abandon();
+  handover.abandon();
+  const spans = exporter.getFinishedSpans();
+  assert.deepEqual(
+    spans.map(({ attributes, events }) => [attributes.block, events.map(({ name }) => name)]),
+    [
+      [3, [...TAKEOVER_STEPS]],
+      [4, ['chosen', 'abandoned']],
+    ],
+  );
+  assert.deepEqual(
+    spans[0]?.events.map(({ attributes }) => attributes?.['handover.at_ms']),
+    [0, 250, 500, 750, 1_000],
+  );
+});
