--- a/test/load/detectors.ts
+++ b/test/load/detectors.ts
@@ -1,9 +1,10 @@
 /** @file Compares failure detectors in simulation: the same faults, by the same seeds, seen by each of them. */
 import { parseArgs } from 'node:util';
 import type { PeerView } from '../../src/protocol/peer-view';
-import { HEARTBEAT_MS, type SuspicionOptions } from '../../src/suspicion/options';
+import { HEARTBEAT_MS } from '../../src/suspicion/options';
 import { PeerDetector } from '../../src/suspicion/peer-detector';
 import { TICK_MS } from '../../src/suspicion/running-clock';
+import { DEFAULT_OPTIONS } from '../suspicion-defaults';
 import { createRandom, type RandomBetween } from './drill-random';
 
 const { values: args } = parseArgs({
@@ -15,21 +16,7 @@
 const PER_MILLE = 1_000;
 const LOST_PER_MILLE = 5;
 const JITTER_MS = 120;
-const GIVE_UP_AFTER_MS = 3_000;
-
-const OPTIONS: SuspicionOptions = {
-  detector: 'phi',
-  phiThreshold: 8,
-  minDeviationMs: 200,
-  timeoutMs: 2_500,
-  stallMs: 1_500,
-  stalls: 3,
-  stallWindowMs: 30_000,
-  giveUpAfterMs: GIVE_UP_AFTER_MS,
-  movesPerMinute: 4,
-  probationMs: 10_000,
-  isTraced: false,
-};
+const { giveUpAfterMs: GIVE_UP_AFTER_MS } = DEFAULT_OPTIONS;
 
 /** A detector, and what is taken away from it. */
 interface Variant {
@@ -122,9 +109,14 @@
   let now = 0;
   const observers = names.map((own) => {
     const peers = names.filter((name) => name !== own);
-    return new PeerDetector(peers, { ...OPTIONS, detector: variant.detector }, 0, ({ node, after }) => {
-      if (after.status === 'suspected' && !isStopped[Number(node)]) tally.falseSuspicions += 1;
-    });
+    return new PeerDetector(
+      peers,
+      { ...DEFAULT_OPTIONS, detector: variant.detector },
+      0,
+      ({ node, after }) => {
+        if (after.status === 'suspected' && !isStopped[Number(node)]) tally.falseSuspicions += 1;
+      },
+    );
   });
 
   /** A controller's turn: it reads what came, looks at its peers, and speaks. */
--- a/test/suspicion-detector.test.ts
+++ b/test/suspicion-detector.test.ts
@@ -3,27 +3,14 @@
 import { test } from 'node:test';
 import type { PeerOpinion, PeerView } from '../src/protocol/peer-view';
 import { HeartbeatIntervals } from '../src/suspicion/heartbeat-intervals';
-import { suspicionSchema, type SuspicionOptions } from '../src/suspicion/options';
+import type { SuspicionOptions } from '../src/suspicion/options';
 import { PeerDetector, type SessionState } from '../src/suspicion/peer-detector';
 import { phi, silenceFor, type IntervalDistribution } from '../src/suspicion/phi';
 import { RunningClock, TICK_MS } from '../src/suspicion/running-clock';
+import { DEFAULT_OPTIONS } from './suspicion-defaults';
 
 const HEARTBEAT_MS = 1_000;
 
-const OPTIONS: SuspicionOptions = {
-  detector: 'phi',
-  phiThreshold: 8,
-  minDeviationMs: 200,
-  timeoutMs: 2_500,
-  stallMs: 1_500,
-  stalls: 3,
-  stallWindowMs: 30_000,
-  giveUpAfterMs: 3_000,
-  movesPerMinute: 4,
-  probationMs: 10_000,
-  isTraced: false,
-};
-
 /** A view whose sender holds these opinions. */
 function viewOf(opinions: PeerOpinion[], fields: Partial<PeerView> = {}): PeerView {
   return { run: 10, incarnation: 0, isStalled: false, opinions, ...fields };
@@ -50,9 +37,14 @@
   readonly detector: PeerDetector;
 
   constructor(options: Partial<SuspicionOptions> = {}) {
-    this.detector = new PeerDetector(['a', 'b'], { ...OPTIONS, ...options }, 0, ({ node, before, after }) => {
-      this.changes.push(`${node}: ${before.status} to ${after.status}`);
-    });
+    this.detector = new PeerDetector(
+      ['a', 'b'],
+      { ...DEFAULT_OPTIONS, ...options },
+      0,
+      ({ node, before, after }) => {
+        this.changes.push(`${node}: ${before.status} to ${after.status}`);
+      },
+    );
   }
 
   status(node: string): string | undefined {
@@ -242,18 +234,3 @@
     ['a', 'b'],
   );
 });
-
-test('the defaults of the options are those that these tests use', () => {
-  const table = suspicionSchema.parse({ enabled: true });
-  assert.deepEqual(
-    [
-      table.detector,
-      table.phi_threshold,
-      table.min_deviation_s,
-      table.timeout_s,
-      table.stall_s,
-      table.stalls,
-    ],
-    [OPTIONS.detector, OPTIONS.phiThreshold, 0.2, 2.5, 1.5, OPTIONS.stalls],
-  );
-});
--- a/test/suspicion-messages.test.ts
+++ b/test/suspicion-messages.test.ts
@@ -7,10 +7,10 @@
 import type { PeerView } from '../src/protocol/peer-view';
 import { readPeerMessage, writePeerMessage, type Progress } from '../src/protocol/peers';
 import { HttpStateStore } from '../src/protocol/state';
-import { suspicionSchema } from '../src/suspicion/options';
 import { Suspicion } from '../src/suspicion/suspicion';
 import { FakeClock } from './fakes/clock';
 import { World } from './fakes/world';
+import { DEFAULT_OPTIONS } from './suspicion-defaults';
 import { SUSPICION_ON } from './suspicion-steps';
 
 const VIEW: PeerView = {
@@ -79,24 +79,8 @@
     debug: () => undefined,
     warn: (fields: { reason?: string }) => warnings.push(fields.reason ?? ''),
   };
-  const options = suspicionSchema.parse({ enabled: true });
-  const world = { node: 'node-0', peers: ['node-1', 'node-2'], clock, cache, log: log as never };
-  const times = {
-    timeoutMs: 2_500,
-    stallMs: 1_500,
-    stallWindowMs: 30_000,
-    giveUpAfterMs: 3_000,
-    probationMs: 10_000,
-  };
-  const suspicion = new Suspicion(world, {
-    ...times,
-    detector: options.detector,
-    phiThreshold: options.phi_threshold,
-    minDeviationMs: 200,
-    stalls: options.stalls,
-    movesPerMinute: options.moves_per_minute,
-    isTraced: false,
-  });
+  const context = { node: 'node-0', peers: ['node-1', 'node-2'], clock, cache, log: log as never };
+  const suspicion = new Suspicion(context, DEFAULT_OPTIONS);
   return { suspicion, warnings };
 }
 
