--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -133,7 +133,9 @@
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
-    languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.mjs', 'test/load/run.mjs'] } } },
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.mjs', 'test/load/run.mjs'] } },
+    },
   },
   {
     files: ['src/**/*.ts', 'test/**/*.ts'],
