--- a/src/suspicion/heartbeat-intervals.ts
+++ b/src/suspicion/heartbeat-intervals.ts
@@ -11,9 +11,9 @@
 /** Longer intervals count as this long: an outage says nothing about how regular heartbeats are. */
 const LONGEST_INTERVAL_MS = 5_000;
 const MEDIAN = 0.5;
-const TAIL = 0.99;
+const TAIL = 0.95;
 /** How many standard deviations the tail's quantile lies above the median of a normal distribution. */
-const TAIL_DEVIATIONS = 2.326;
+const TAIL_DEVIATIONS = 1.645;
 
 /**
  * Two generations of intervals: the one that is being filled and the one before, so that what happened long ago is
--- a/src/suspicion/peer-record.ts
+++ b/src/suspicion/peer-record.ts
@@ -6,6 +6,12 @@
 /** How long a refuted suspicion stays visible before the peer counts as alive like any other. */
 const REFUTED_FOR_MS = 10_000;
 
+/**
+ * However irregular a peer's heartbeats were, it is suspected after so many times the fixed timeout: a suspicion that comes
+ * after the end of the lease, which is the verdict, tells nobody anything.
+ */
+const MOST_TIMEOUTS = 1.5;
+
 /** What this controller holds of a peer. */
 export interface PeerRecord {
   readonly status: PeerStatus;
@@ -131,7 +137,8 @@
   }
   const deviationMs = Math.max(distribution.deviationMs, options.minDeviationMs);
   const estimate = phi(silentMs, { meanMs: distribution.meanMs, deviationMs });
-  return { phi: estimate, isSuspicious: estimate >= options.phiThreshold };
+  const isSuspicious = estimate >= options.phiThreshold || silentMs > MOST_TIMEOUTS * options.timeoutMs;
+  return { phi: estimate, isSuspicious };
 }
 
 /** Whether the status speaks against giving the peer anything. */
--- /dev/null
+++ b/test/load/drill-history.ts
@@ -0,0 +1,117 @@
+/** @file The history of a drill, from what workers accepted and from the records of the state service. */
+import type { OrphanedJob, OwnershipHistory, OwnershipInterval } from '../fakes/ownership-history';
+
+/** What the state service has of a block's lease. */
+export interface LeaseFacts {
+  readonly block: number;
+  readonly owner: string;
+  readonly token: number;
+}
+
+/** A job, and the machines that held its tasks when its owner failed. */
+interface Orphan {
+  readonly orphan: OrphanedJob;
+  readonly machines: Set<string>;
+}
+
+/**
+ * Ownership as workers see it: from the first to the last message that any worker accepted under the tokens of one
+ * acquisition. So an interval ends when a controller last acted, not when it may have believed that it could.
+ */
+export class DrillHistory {
+  readonly #intervals: OwnershipInterval[] = [];
+  readonly #ownerOf = new Map<number, LeaseFacts>();
+  readonly #orphans: Orphan[] = [];
+  /** When each worker first accepted a message after the fault, from the owner that acts after it. */
+  readonly #metAt = new Map<string, number>();
+  #faultAt = Infinity;
+  #tokenBefore = 0;
+  /** Messages under tokens that no lease record was seen with. */
+  unattributed = 0;
+
+  constructor(private readonly now: () => number) {}
+
+  /** A lease as it stands in the state service. */
+  onLease(lease: LeaseFacts): void {
+    this.#ownerOf.set(lease.token, lease);
+  }
+
+  /** The highest token that was drawn so far. */
+  get highestToken(): number {
+    return Math.max(0, ...this.#ownerOf.keys());
+  }
+
+  /** A worker accepted a message under a token. */
+  onAccepted(machine: string, token: number): void {
+    const lease = this.#ownerOf.get(token);
+    const now = this.now();
+    if (!lease) {
+      this.unattributed += 1;
+      return;
+    }
+    this.#extend(lease, now);
+    if (now >= this.#faultAt && token > this.#tokenBefore) this.#met(machine, now);
+  }
+
+  #extend({ block, owner, token }: LeaseFacts, now: number): void {
+    const ofBlock = this.#intervals.filter((interval) => interval.block === block);
+    const known = ofBlock.findLast((interval) => interval.token <= token);
+    const isSameOwnership =
+      known?.node === owner && !ofBlock.some((other) => other.token > known.token && other.token <= token);
+    if (known && isSameOwnership) known.to = now;
+    else this.#intervals.push({ block, node: owner, token, from: now, to: now });
+  }
+
+  #met(machine: string, now: number): void {
+    if (!this.#metAt.has(machine)) this.#metAt.set(machine, now);
+    for (const { orphan, machines } of this.#orphans) {
+      if (orphan.reassignedAt !== undefined) continue;
+      machines.delete(machine);
+      if (machines.size === 0) orphan.reassignedAt = now;
+    }
+  }
+
+  /** A controller failed: these jobs are orphaned, each with the machines that hold its tasks. */
+  onFault(jobs: ReadonlyMap<string, ReadonlySet<string>>): void {
+    this.#faultAt = this.now();
+    this.#tokenBefore = this.highestToken;
+    this.#metAt.clear();
+    for (const [job, machines] of jobs) {
+      const orphan = { job, orphanedAt: this.#faultAt, reassignedAt: undefined };
+      this.#orphans.push({ orphan, machines: new Set(machines) });
+    }
+  }
+
+  /** The job ended, or its machine did: nothing of it waits for an owner any more. */
+  release(isOver: (job: string) => boolean, isGone: (machine: string) => boolean): void {
+    for (const { orphan, machines } of this.#orphans) {
+      if (orphan.reassignedAt !== undefined) continue;
+      for (const machine of machines) if (isGone(machine)) machines.delete(machine);
+      const hasNewOwner = this.#metAt.size > 0;
+      if (isOver(orphan.job) || (machines.size === 0 && hasNewOwner)) orphan.reassignedAt = this.now();
+    }
+  }
+
+  /** How long after the fault each worker first accepted a message of the new owner, the quickest first. */
+  meetingTimes(): number[] {
+    return [...this.#metAt.values()].map((at) => at - this.#faultAt).sort((a, b) => a - b);
+  }
+
+  /** How long the jobs that were orphaned by the latest fault waited, the longest last. */
+  waitsSinceFault(): number[] {
+    return this.#orphans
+      .filter(({ orphan }) => orphan.orphanedAt === this.#faultAt)
+      .map(({ orphan }) => (orphan.reassignedAt ?? this.now()) - orphan.orphanedAt)
+      .sort((a, b) => a - b);
+  }
+
+  /** The history so far. */
+  get history(): OwnershipHistory {
+    return {
+      intervals: this.#intervals,
+      orphans: this.#orphans.map(({ orphan }) => orphan),
+      effects: [],
+      endedAt: this.now(),
+    };
+  }
+}
--- /dev/null
+++ b/test/load/drill.ts
@@ -0,0 +1,284 @@
+/** @file One drill: a deployment on the loopback range under work, and the faults that are played on it. */
+import { KEY, read } from '../../src/bookkeeping/records';
+import { NoAnswer } from '../../src/transport/http-client';
+import { checkOwnership } from '../fakes/ownership-history';
+import { FakeStateService } from '../fakes/state-service';
+import { submission } from '../fakes/submission';
+import type { JobFacts } from '../fakes/worker';
+import { CLOUD, ControllerProcesses, STATE, TEAMS, type Controller } from './controllers';
+import { DrillHistory } from './drill-history';
+import type { RandomBetween } from './drill-random';
+import { ObservedLoopback } from './observed-loopback';
+import { CuttableProxy } from './proxy';
+import { LoadCloud, realClock } from './stand-ins';
+
+/** What can become of the owner of block 0. */
+export type FaultKind = 'freeze' | 'kill' | 'cut';
+
+/** How a drill is played. */
+export interface DrillOptions {
+  readonly out: string;
+  readonly bundle: string;
+  readonly machines: number;
+  readonly operatorToml: string | undefined;
+  readonly random: RandomBetween;
+}
+
+/** What came of one fault. Times in milliseconds from the fault. */
+export interface DrillOutcome {
+  readonly seed: number;
+  readonly fault: FaultKind;
+  readonly workers: number;
+  /** When the first worker, and 99% of them, accepted a message of the new owner. */
+  readonly firstWorker: number | undefined;
+  readonly workers99: number | undefined;
+  readonly orphans: number;
+  readonly medianOrphan: number | undefined;
+  readonly lastOrphan: number | undefined;
+  /** When another controller first held the owner for a suspect. */
+  readonly suspected: number | undefined;
+  readonly unansweredUsers: number;
+  readonly violations: readonly string[];
+}
+
+const REPORT_S = 0.8;
+const LEASE_S = 26;
+const BOOT_MS = 1_000;
+const FAULT_MS = 8_000;
+const OBSERVED_MS = 20_000;
+const SETTLE_MS = 4_000;
+const WATCH_MS = 10;
+const USER_MS = 200;
+const USER_TIMEOUT_MS = 5_000;
+const TASK_S = 25;
+const FLAGS = ['--max-old-space-size=64', '--max-semi-space-size=4', '--single-threaded'];
+const CONTROLLERS = 3;
+
+/** Plays faults on the owner of block 0, one after the other, and says what came of each. */
+export class Drill {
+  readonly #processes: ControllerProcesses;
+  readonly #state = new FakeStateService(realClock);
+  readonly #cloud: LoadCloud;
+  readonly #history = new DrillHistory(() => realClock.now());
+  readonly #proxies = new Map<number, CuttableProxy[]>();
+  readonly #facts = new Map<string, JobFacts>();
+  /** On which machine each task runs. */
+  readonly #running = new Map<string, string>();
+  readonly #completed = new Map<string, number>();
+  readonly #tasksOf = new Map<string, number>();
+  readonly #violations: string[] = [];
+  #controllers: Controller[] = [];
+  #names = 0;
+  #unanswered = 0;
+  #suspectedAt: number | undefined;
+
+  constructor(private readonly options: DrillOptions) {
+    this.#processes = new ControllerProcesses({
+      out: options.out,
+      bundle: options.bundle,
+      flags: FLAGS,
+      controllers: CONTROLLERS,
+      reportS: String(REPORT_S),
+      writeRps: '200',
+      cloudRps: '10',
+      sockets: '2500',
+      classes: ['batch'],
+      isProfiled: false,
+      route: (from, to) => this.#route(from, to),
+      ...(options.operatorToml === undefined ? {} : { operatorToml: options.operatorToml }),
+    });
+    const machineAt = (address: string): string | undefined =>
+      [...this.#cloud.machines].find(([, { worker }]) => worker.address === address)?.[0];
+    const network = new ObservedLoopback(machineAt, (machine, token) => {
+      this.#watchLeases();
+      this.#history.onAccepted(machine, token);
+    });
+    this.#cloud = new LoadCloud(
+      options.machines,
+      BOOT_MS,
+      this.#processes.nodes,
+      { reportS: REPORT_S, leaseS: LEASE_S },
+      network,
+      (job) => this.#facts.get(job),
+      {
+        started: (task, machine) => {
+          this.#started(task, machine);
+        },
+        left: (task, machine) => {
+          if (this.#running.get(task) === machine) this.#running.delete(task);
+        },
+        completed: (task) => {
+          const job = task.split('/')[0] ?? '';
+          this.#completed.set(job, (this.#completed.get(job) ?? 0) + 1);
+        },
+      },
+    );
+    network.attach(STATE, (request) => this.#state.handle(request));
+    network.attach(CLOUD, this.#cloud.handle);
+  }
+
+  /** Every controller reaches the others and the state service through proxies of its own. */
+  #route(from: number, to: string): string {
+    if (to === CLOUD) return to;
+    const number = this.#proxies.get(from)?.length ?? 0;
+    const address = `127.4.${from}.${number + 1}:7000`;
+    const proxy = new CuttableProxy(address, to);
+    this.#proxies.set(from, [...(this.#proxies.get(from) ?? []), proxy]);
+    return address;
+  }
+
+  #started(task: string, machine: string): void {
+    const other = this.#running.get(task);
+    if (other !== undefined) this.#violations.push(`${task} runs on ${other} and ${machine}`);
+    this.#running.set(task, machine);
+  }
+
+  /** Plays the faults; the controllers are ended afterwards. */
+  async play(seed: number, faults: readonly FaultKind[]): Promise<DrillOutcome[]> {
+    this.#controllers = this.#processes.startAll(0);
+    const timers = [
+      setInterval(() => {
+        this.#watch();
+      }, WATCH_MS),
+      setInterval(() => {
+        void this.#poll();
+      }, USER_MS),
+    ];
+    await this.#processes.untilUp();
+    await this.#fill();
+    const outcomes: DrillOutcome[] = [];
+    for (const fault of faults) outcomes.push(await this.#playFault(seed, fault));
+    for (const timer of timers) clearInterval(timer);
+    await Promise.all(this.#controllers.map((controller) => this.#processes.kill(controller)));
+    return outcomes;
+  }
+
+  /** Submits work for the whole fleet, and waits until most machines have some. */
+  async #fill(): Promise<void> {
+    const until = realClock.now() + 40_000;
+    while (new Set(this.#running.values()).size < this.options.machines * 0.9 && realClock.now() < until) {
+      if (this.#running.size < this.options.machines * 8) await this.#submit(40);
+      await realClock.sleep(100);
+    }
+    await realClock.sleep(SETTLE_MS);
+  }
+
+  async #playFault(seed: number, fault: FaultKind): Promise<DrillOutcome> {
+    const owner = await this.#owner();
+    this.#unanswered = 0;
+    this.#suspectedAt = undefined;
+    const violationsBefore = this.#violations.length;
+    const faultAt = realClock.now();
+    this.#history.onFault(this.#openJobs());
+    await this.#inflict(fault, owner, FAULT_MS + this.options.random(-500, 500));
+    await realClock.sleep(Math.max(0, faultAt + OBSERVED_MS - realClock.now()));
+    const met = this.#history.meetingTimes();
+    const waits = this.#history.waitsSinceFault();
+    const violations = [
+      ...this.#violations.slice(violationsBefore),
+      ...checkOwnership(this.#history.history).map(({ kind, detail }) => `${kind}: ${detail}`),
+    ];
+    return {
+      seed,
+      fault,
+      workers: met.length,
+      firstWorker: round(met[0]),
+      workers99: round(met[Math.ceil(met.length * 0.99) - 1]),
+      orphans: waits.length,
+      medianOrphan: round(waits[Math.floor(waits.length / 2)]),
+      lastOrphan: round(waits.at(-1)),
+      suspected: this.#suspectedAt === undefined ? undefined : round(this.#suspectedAt - faultAt),
+      unansweredUsers: this.#unanswered,
+      violations: violations.map((violation) => `seed ${seed}, ${fault}: ${violation}`),
+    };
+  }
+
+  async #inflict(fault: FaultKind, owner: number, forMs: number): Promise<void> {
+    const controller = this.#controllers[owner];
+    if (!controller) throw new Error('no such controller');
+    const proxies = this.#controllers.flatMap((_, index) =>
+      index === owner ? (this.#proxies.get(index) ?? []) : [],
+    );
+    if (fault === 'freeze') this.#processes.freeze(controller);
+    if (fault === 'kill') await this.#processes.kill(controller);
+    if (fault === 'cut') for (const proxy of proxies) proxy.cut();
+    await realClock.sleep(forMs);
+    if (fault === 'freeze') this.#processes.thaw(controller);
+    if (fault === 'kill') this.#controllers[owner] = this.#processes.start(owner, 1);
+    if (fault === 'cut') for (const proxy of proxies) proxy.heal();
+  }
+
+  /** Waits until block 0 has an owner, and tells which. */
+  async #owner(): Promise<number> {
+    for (;;) {
+      const lease = read.lease(this.#state.data.get(KEY.lease(0))?.data);
+      const index = this.#processes.nodes.findIndex(({ name }) => name === lease?.owner);
+      if (index >= 0) return index;
+      await realClock.sleep(100);
+    }
+  }
+
+  #openJobs(): Map<string, Set<string>> {
+    const jobs = new Map<string, Set<string>>();
+    for (const [task, machine] of this.#running) {
+      const job = task.split('/')[0] ?? '';
+      const machines = jobs.get(job) ?? new Set<string>();
+      jobs.set(job, machines.add(machine));
+    }
+    return jobs;
+  }
+
+  #watch(): void {
+    this.#watchLeases();
+    const isOver = (job: string): boolean => (this.#completed.get(job) ?? 0) >= (this.#tasksOf.get(job) ?? 0);
+    this.#history.release(isOver, (machine) => !this.#cloud.machines.has(machine));
+  }
+
+  #watchLeases(): void {
+    const lease = read.lease(this.#state.data.get(KEY.lease(0))?.data);
+    if (lease) this.#history.onLease({ block: 0, ...lease });
+  }
+
+  /** A user at some controller, and an operator who looks at the peers. */
+  async #poll(): Promise<void> {
+    const { nodes } = this.#processes;
+    const index = this.options.random(0, nodes.length - 1);
+    if (this.#running.size < this.options.machines * 8) void this.#submit(20);
+    const job = `req-${String(this.options.random(1, Math.max(1, this.#names))).padStart(6, '0')}`;
+    await this.#ask(index, 'GET', `/work/${job}`);
+    const answer = await this.#ask((index + 1) % nodes.length, 'GET', '/peers', 400);
+    const { rows = [] } = (answer ?? {}) as { rows?: { status: string }[] };
+    if (rows.some(({ status }) => status === 'suspected')) this.#suspectedAt ??= realClock.now();
+  }
+
+  async #submit(tasks: number): Promise<void> {
+    this.#names += 1;
+    const id = `req-${String(this.#names).padStart(6, '0')}`;
+    const crew = TEAMS[this.#names % TEAMS.length];
+    this.#facts.set(id, { runS: TASK_S, stashS: 0, bookmarkS: 0, cpus: 1 });
+    this.#tasksOf.set(id, tasks);
+    const body = submission(id, { crew, pieces: tasks, cpus: 1, memGb: 1, reckonS: TASK_S });
+    await this.#ask(this.options.random(0, CONTROLLERS - 1), 'POST', '/work', USER_TIMEOUT_MS, body);
+  }
+
+  async #ask(
+    index: number,
+    method: string,
+    path: string,
+    timeoutMs = USER_TIMEOUT_MS,
+    body?: unknown,
+  ): Promise<unknown> {
+    const address = this.#processes.nodes[index]?.address ?? '';
+    try {
+      return (await this.#processes.http.call(address, method, path, body, timeoutMs)).body;
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      if (path.startsWith('/work')) this.#unanswered += 1;
+      return undefined;
+    }
+  }
+}
+
+function round(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
--- /dev/null
+++ b/test/load/observed-loopback.ts
@@ -0,0 +1,43 @@
+/** @file The loopback network with an eye on what workers accept from controllers. */
+import type { HttpCaller } from '../../src/transport/http-client';
+import type { Host } from '../fakes/network';
+import { Loopback } from './stand-ins';
+
+/** A worker accepted a command, or the answer to a report, under a token. */
+export type AcceptedObserver = (machine: string, token: number) => void;
+
+/** Tells of each message that a worker accepted from whoever owned its block. */
+export class ObservedLoopback extends Loopback {
+  constructor(
+    private readonly machineAt: (address: string) => string | undefined,
+    private readonly onAccepted: AcceptedObserver,
+  ) {
+    super();
+  }
+
+  override attach(address: string, host: Host): void {
+    super.attach(address, async (request) => {
+      const answer = await host(request);
+      const machine = this.machineAt(address);
+      const { baton } = (request.body ?? {}) as { baton?: number };
+      if (request.path === '/do' && answer.status === 200 && machine !== undefined && baton !== undefined) {
+        this.onAccepted(machine, baton);
+      }
+      return answer;
+    });
+  }
+
+  override caller(from?: string): HttpCaller {
+    const caller = super.caller();
+    return {
+      call: async (target, method, path, body, timeoutMs) => {
+        const answer = await caller.call(target, method, path, body, timeoutMs);
+        const { baton } = (answer.body ?? {}) as { baton?: number };
+        if (path === '/hello' && answer.status === 200 && from !== undefined && baton !== undefined) {
+          this.onAccepted(from, baton);
+        }
+        return answer;
+      },
+    };
+  }
+}
--- /dev/null
+++ b/test/load/proxy.ts
@@ -0,0 +1,44 @@
+/** @file A small TCP proxy between two processes, which can cut them off from each other. */
+import { connect, createServer, type Socket } from 'node:net';
+
+/** Forwards connections to a target until it is cut; then it swallows what either side sends, as a network would. */
+export class CuttableProxy {
+  #isCut = false;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(address: string, target: string) {
+    const [host, port] = address.split(':');
+    const [targetHost, targetPort] = target.split(':');
+    const server = createServer((inbound) => {
+      const outbound = connect({ host: targetHost ?? '', port: Number(targetPort) });
+      this.#forward(inbound, outbound);
+      this.#forward(outbound, inbound);
+    });
+    server.listen(Number(port), host);
+  }
+
+  /** Nothing gets through any more, until `heal`. */
+  cut(): void {
+    this.#isCut = true;
+  }
+
+  /** Connections from before are ended, so that both sides open new ones. */
+  heal(): void {
+    this.#isCut = false;
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #forward(from: Socket, to: Socket): void {
+    this.#sockets.add(from);
+    from.setNoDelay(true);
+    from.on('data', (bytes) => {
+      if (!this.#isCut) to.write(bytes);
+    });
+    from.on('error', () => from.destroy());
+    from.on('close', () => {
+      this.#sockets.delete(from);
+      // A process that ended behind a cut is not seen to end.
+      if (!this.#isCut) to.destroy();
+    });
+  }
+}
--- /dev/null
+++ b/test/load/suspicion.ts
@@ -0,0 +1,47 @@
+/**
+ * @file A drill on real processes: three controllers on the loopback range are frozen, killed and cut off, and the history
+ * of who owned which block is checked. Exits with 1 when a block had two owners, a task ran twice, or an orphaned job had
+ * no owner after 30 s.
+ */
+import { parseArgs } from 'node:util';
+import { createRandom } from './drill-random';
+import { Drill, type DrillOutcome, type FaultKind } from './drill';
+
+const { values: args } = parseArgs({
+  options: {
+    seeds: { type: 'string', default: '2' },
+    from: { type: 'string', default: '1' },
+    machines: { type: 'string', default: '150' },
+    faults: { type: 'string', default: 'freeze,kill,cut' },
+    out: { type: 'string', default: 'target/load/suspicion' },
+    bundle: { type: 'string', default: 'target/load/main.js' },
+    /** Play it with suspicion off, for comparison. */
+    off: { type: 'boolean', default: false },
+  },
+});
+
+/** A drill that hangs must leave no controllers behind. */
+const LONGEST_MS = 5 * 60_000;
+setTimeout(() => {
+  console.error('the drill took too long');
+  process.exit(2);
+}, LONGEST_MS).unref();
+
+const faults = args.faults.split(',') as FaultKind[];
+const outcomes: DrillOutcome[] = [];
+for (let seed = Number(args.from); seed < Number(args.from) + Number(args.seeds); seed += 1) {
+  const drill = new Drill({
+    out: `${args.out}-${seed}`,
+    bundle: args.bundle,
+    machines: Number(args.machines),
+    operatorToml: args.off ? undefined : '[suspicion]\nenabled = true\n',
+    random: createRandom(seed),
+  });
+  outcomes.push(...(await drill.play(seed, faults)));
+}
+
+console.log(`suspicion ${args.off ? 'off' : 'on'}; times in ms from the fault`);
+console.table(outcomes.map(({ violations, ...row }) => ({ ...row, violations: violations.length })));
+const violations = outcomes.flatMap((outcome) => outcome.violations);
+for (const violation of violations) console.error(violation);
+process.exit(violations.length > 0 ? 1 : 0);
