review: case 1, a wave of taken spot machines leaves tasks waiting for ever

Cause: an owner that hears nothing from three machines and 70% of its shard tells its peers that its workers don't reach it. The peers hold relay records for as long as it says so, and while one exists the owner counts all its workers' leases as renewed. Machines that are gone for good therefore keep their tasks, and are taken for a partition, so they aren't released either.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the cases and their stand-ins into target/review, after the build of the deploy file.
+set -e
+cd "$(dirname "$0")/.."
+npx --no-install esbuild review/*/case.ts --bundle --platform=node --target=node20 --log-level=warning \
+  --out-extension:.js=.cjs --outbase=review --outdir=target/review
