--- a/review/stand-ins/deployment.ts
+++ b/review/stand-ins/deployment.ts
@@ -24,8 +24,7 @@
   /** The machine that each task is on, from when it has its image. */
   readonly machineOf = new Map<string, string>();
   readonly completed = new Set<string>();
-  /** When each task left its last machine, in seconds of the record. */
-  readonly leftAt = new Map<string, number>();
+  readonly #losses = new Map<string, number>();
   /** Tasks that started on one machine while they were on another. */
   readonly ranTwice: string[] = [];
 
@@ -60,12 +59,15 @@
       onLeft: (task, machine, why) => {
         record.add(`worker: ${task} leaves ${machine}: ${why}`);
         if (why === 'done') parts.deployment?.completed.add(task);
+        else parts.deployment?.addLoss(task);
         if (parts.deployment?.machineOf.get(task) === machine) parts.deployment.machineOf.delete(task);
-        parts.deployment?.leftAt.set(task, record.now);
       },
       onSession: (machine, session) => {
         record.add(`worker: ${machine} begins session ${session}`);
       },
+      onRefused: (machine, status, bytes) => {
+        record.add(`worker: a report of ${machine}, ${bytes} bytes as JSON, is answered ${status}`);
+      },
     };
     const cloud = new Cloud({
       ...options.cloud,
@@ -88,6 +90,16 @@
     return deployment;
   }
 
+  /** How often a task left a machine before it was done. */
+  lossesOf(task: string): number {
+    return this.#losses.get(task) ?? 0;
+  }
+
+  /** Counts that a task left a machine before it was done. */
+  addLoss(task: string): void {
+    this.#losses.set(task, this.lossesOf(task) + 1);
+  }
+
   /** The controller that holds the lease of a shard, for choosing the target of a fault. */
   holderOf(shard: number): string | undefined {
     return (this.state.peek(`live/lease/${shard}`) as { owner?: string } | undefined)?.owner;
--- a/review/stand-ins/worker.ts
+++ b/review/stand-ins/worker.ts
@@ -36,6 +36,8 @@
   /** The task left the machine: completed, stopped, killed, or the machine is gone. */
   onLeft(task: string, machine: string, why: string): void;
   onSession(machine: string, session: number): void;
+  /** A report was answered with a status that the protocol page doesn't name. */
+  onRefused(machine: string, status: number, jsonBytes: number): void;
 }
 
 interface Task {
@@ -190,7 +192,8 @@
     const session = this.#session;
     this.#isChanged = false;
     try {
-      const options = { body: this.#message(), timeoutMs: REPORT_TIMEOUT_MS };
+      const message = this.#message();
+      const options = { body: message, timeoutMs: REPORT_TIMEOUT_MS };
       const { status, body } = await call(controller?.address ?? '', 'POST', '/hello', options);
       if (this.isGone) return RETRY_MS;
       if (status === 200) {
@@ -199,6 +202,8 @@
       }
       if (status === 421 && this.#follow((body as { foreman?: string } | undefined)?.foreman))
         return 500 * Math.random();
+      if (status !== 421 && status !== 503)
+        this.world.onRefused(this.machine.id, status, Buffer.byteLength(JSON.stringify(message)));
     } catch {
       // No usable answer: the next node is tried.
     }
