--- a/review/stand-ins/controllers.ts
+++ b/review/stand-ins/controllers.ts
@@ -74,6 +74,8 @@
   readonly #children = new Map<string, ChildProcess>();
   /** Unexpected ends of processes. */
   readonly ends: string[] = [];
+  /** The settings with which controllers are started from now on. */
+  platform: Platform;
 
   constructor(
     private readonly root: string,
@@ -86,6 +88,7 @@
       peer?(from: Node, to: Node): string;
     },
   ) {
+    this.platform = settings.platform;
     process.on('exit', () => {
       this.end();
     });
@@ -146,7 +149,8 @@
   }
 
   #toml(node: Node): string {
-    const { platform, cloud, state, peer } = this.settings;
+    const { platform } = this;
+    const { cloud, state, peer } = this.settings;
     const { workers, state: limits, quota } = platform;
     const others = this.nodes.filter((other) => other !== node);
     return [
