review: case 1 with a cloud of eleven machines, and errors that exit with 2

Cause: a run of case 1 held because a twelfth machine had been rented before the wave; an error that nothing handles would have ended a script with 1.

Done: the cloud of case 1 has as many machines as its jobs need; the scripts exit with 2 when they aren't built or an error isn't handled.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -99,6 +99,12 @@
   return undefined;
 }
 
+/** The cloud has eleven spot machines and no others, as many as the jobs need. */
+const capacity = (_type: string, zone: string, isSpot: boolean): number => {
+  if (!isSpot) return 0;
+  return zone === 'concord-room' ? 6 : 5;
+};
+
 const hasRoom = (worker: Worker): boolean =>
   worker.freeCpus >= VICTIM.cpus && worker.freeMemoryGb >= VICTIM.memoryGb;
 
@@ -132,7 +138,7 @@
     record,
     platform: GRANITE_LEAN,
     controllerZones: ['concord-room', 'keene-room', 'concord-room'],
-    cloud: { types: [MAPLE], capacity: () => 20, bootMs: () => 1_000 + 1_000 * Math.random() },
+    cloud: { types: [MAPLE], capacity, bootMs: () => 1_000 + 1_000 * Math.random() },
   });
   keep(deployment);
   const obstacle = (await setUp(deployment)) ?? (hasTrouble ? await takeWave(deployment, record) : undefined);
--- a/review/stand-ins/case.ts
+++ b/review/stand-ins/case.ts
@@ -10,6 +10,14 @@
 export const HELD = 0;
 export const NOT_RUN = 2;
 
+// After an error that nothing handles, Node would exit with 1, which means that the rule was broken.
+for (const event of ['uncaughtException', 'unhandledRejection'] as const) {
+  process.on(event, (error: unknown) => {
+    console.error(error);
+    process.exit(NOT_RUN);
+  });
+}
+
 /** Whether the disruption is played; `TROUBLE=0` leaves it out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
