--- a/review/stand-ins/case.ts
+++ b/review/stand-ins/case.ts
@@ -58,6 +58,19 @@
   zones: ZONES,
 };
 
+/** The machine type `birch-64` of that deployment. */
+export const BIRCH: OfferedType = {
+  label: 'birch-64',
+  cpus: 64,
+  memoryGb: 256,
+  cacheGb: 50,
+  fetchGbPerS: 0.4,
+  rate: 3.37,
+  spotPrice: 0.82,
+  bootS: 30,
+  zones: ZONES,
+};
+
 /** The outcome of a case: its exit code and the reason. */
 export interface Outcome {
   readonly code: number;
