--- a/review/stand-ins/controllers.ts
+++ b/review/stand-ins/controllers.ts
@@ -97,7 +97,7 @@
   /** Starts a controller. */
   start(name: string): void {
     const node = this.nodes.find((other) => other.name === name);
-    if (!node) throw new Error(`no controller ${name}`);
+    if (!node || this.#children.has(name)) throw new Error(`${name} is not known or runs already`);
     const file = join(this.#folder, `${name}.toml`);
     writeFileSync(file, this.#toml(node));
     const [program = '', ...args] = runCommand(this.root);
