--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -19,8 +19,8 @@
 const LIMIT_S = 118;
 /** The bound of the pages: no job is left waiting for this long while a machine that fits has room. */
 const MAX_WAIT_S = 90;
-/** The share of the spot machines that a wave takes, in the site files. */
-const MAX_WAVE_SHARE = 0.29;
+/** The share of the spot machines that a wave takes, in the site file. */
+const MAX_WAVE_SHARE = 0.26;
 const WAVE_PAUSE_MS = 400;
 const LONG_S = 600;
 
@@ -46,8 +46,8 @@
   };
 }
 
-/** Team 01: seven machines, busy throughout. */
-const OTHERS = job('req-000001', 'billing-ops-01', { tasks: 7, cpus: 16, runS: LONG_S });
+/** Team 01: eight machines, busy throughout. */
+const OTHERS = job('req-000001', 'billing-ops-01', { tasks: 8, cpus: 16, runS: LONG_S });
 /** Team 02: a small task keeps one machine rented throughout. */
 const ANCHOR = job('req-000002', 'billing-ops-02', { tasks: 1, cpus: 2, runS: LONG_S });
 /** Team 02: one task fits beside the small one, the others get machines of their own, which are taken back. */
@@ -99,11 +99,8 @@
   return undefined;
 }
 
-/** The cloud has eleven spot machines and no others, as many as the jobs need. */
-const capacity = (_type: string, zone: string, isSpot: boolean): number => {
-  if (!isSpot) return 0;
-  return zone === 'concord-room' ? 6 : 5;
-};
+/** The cloud has twelve spot machines and no others, as many as the jobs need. */
+const capacity = (_type: string, _zone: string, isSpot: boolean): number => (isSpot ? 6 : 0);
 
 const hasRoom = (worker: Worker): boolean =>
   worker.freeCpus >= VICTIM.cpus && worker.freeMemoryGb >= VICTIM.memoryGb;
--- a/review/stand-ins/worker.ts
+++ b/review/stand-ins/worker.ts
@@ -68,6 +68,7 @@
   #session = 1;
   #tally = 0;
   #token = 0;
+  #tokenReportedAt = -Infinity;
   #leaseFrom = performance.now();
   #controller: number;
   #isChanged = false;
@@ -231,7 +232,12 @@
   }
 
   #see(token: number): void {
-    if (token > this.#token) this.#isChanged = true;
+    const now = performance.now();
+    // A higher token counts as a change at most once within half of the lease.
+    if (token > this.#token && now - this.#tokenReportedAt >= this.world.leaseS * 500) {
+      this.#tokenReportedAt = now;
+      this.#isChanged = true;
+    }
     this.#token = Math.max(this.#token, token);
   }
 
