--- a/review/stand-ins/controllers.ts
+++ b/review/stand-ins/controllers.ts
@@ -1,7 +1,7 @@
 /** @file Starts controllers as separate processes with the command of the deploy file. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
@@ -37,16 +37,30 @@
 
 const HOST = '127.0.0.1';
 
-async function freePort(): Promise<number> {
+/** Below the ports that systems give to outgoing connections, one of which could take a port before it is used. */
+const PORTS = { first: 12_000, count: 18_000 };
+const MAX_TRIES = 50;
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => {
-    server.close(() => {
-      resolve();
+  return new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, HOST, () => {
+      server.close(() => {
+        resolve(true);
+      });
     });
   });
-  return port;
+}
+
+async function freePort(): Promise<number> {
+  for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
+    const port = PORTS.first + Math.floor(PORTS.count * Math.random());
+    if (await isFree(port)) return port;
+  }
+  throw new Error('no free port');
 }
 
 /** Chooses free ports for controllers, one zone each. */
