Show silent machines, the tasks held on them and relays in the log

Cause: tasks that waited for a silent machine could wait for its lease, for its release, or for a relay; the log didn't tell which, since a relay logged nothing and the summary of a shard counted silent machines only among all that can't be used.

Behaviour stays as it was.

Measured: type check, lint; no test looks at these lines.

--- a/src/coordination/ownership/lease-relay.ts
+++ b/src/coordination/ownership/lease-relay.ts
@@ -95,11 +95,14 @@
       [{ put: key, value: {}, lease: ownLease }],
       'urgent',
     );
-    if (result.ok) this.#relayed.set(shard, ownLease);
+    if (!result.ok) return;
+    this.#relayed.set(shard, ownLease);
+    this.context.log.info({ shard }, 'relaying worker leases');
   }
 
   async #deleteRecord(shard: number): Promise<void> {
     const key = this.#key(shard);
+    if (this.#relayed.has(shard)) this.context.log.info({ shard }, 'worker leases no longer relayed');
     // Responses stop before the record is deleted: after the deletion, the owner may declare unresponsive workers dead.
     this.#relayed.delete(shard);
     await this.context.store.compareAndSwap(
--- a/src/coordination/shard/shard-summary.ts
+++ b/src/coordination/shard/shard-summary.ts
@@ -9,6 +9,12 @@
   booting: number;
   /** Machines that are up, but on which no task may be started now. */
   unusable: number;
+  /** Machines that are up and have missed their heartbeats. */
+  silent: number;
+  /** Tasks on silent machines: they are not issued again before these machines' leases expire. */
+  silentTasks: number;
+  /** Whether a peer holds a record by which it may renew leases of the shard's workers. */
+  relayed: boolean;
   spot: number;
   cpus: number;
   usedCpus: number;
@@ -29,6 +35,9 @@
     machines: 0,
     booting: 0,
     unusable: 0,
+    silent: 0,
+    silentTasks: 0,
+    relayed: shard.isRelayed,
     spot: 0,
     cpus: 0,
     usedCpus: 0,
@@ -36,8 +45,10 @@
     waiting: 0,
     unplaced: 0,
   };
-  for (const machine of shard.machines.values())
+  for (const machine of shard.machines.values()) {
     addMachine(summary, machine, shard.isSchedulable(machine, now));
+    if (shard.isSilent(machine, now)) addSilentMachine(summary, machine);
+  }
   for (const table of shard.tables.values()) if (table.isReady) summary.waiting += table.unassigned;
   for (const count of unplaced.values()) summary.unplaced += count;
   return summary;
@@ -55,3 +66,10 @@
     if (attempt.phase === 'running') summary.runningCpus += attempt.resources.cpus;
   }
 }
+
+function addSilentMachine(summary: ShardSummary, machine: Machine): void {
+  summary.silent += 1;
+  for (const attempt of machine.attempts.values()) {
+    if (occupiesResources(attempt)) summary.silentTasks += 1;
+  }
+}
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -216,11 +216,16 @@
     return machine.isSchedulable(now, this.timing.leaseMs, this.timing.heartbeatTimeoutMs);
   }
 
+  /** Whether the machine is up, but has missed its heartbeats. */
+  isSilent(machine: Machine, now: number): boolean {
+    const isUp = machine.isUp && !machine.isTerminated;
+    return isUp && machine.hasMissedHeartbeats(now, this.timing.heartbeatTimeoutMs);
+  }
+
   /** Number of machines that are up, and how many of them have missed their heartbeats. */
   workerReachability(now: number): { machines: number; unreachable: number } {
-    const { heartbeatTimeoutMs } = this.timing;
     const upMachines = [...this.machines.values()].filter((machine) => machine.isUp && !machine.isTerminated);
-    const unreachable = upMachines.filter((machine) => machine.hasMissedHeartbeats(now, heartbeatTimeoutMs));
+    const unreachable = upMachines.filter((machine) => this.isSilent(machine, now));
     return { machines: upMachines.length, unreachable: unreachable.length };
   }
 }
