Split lists by their size in one place

Cause: the records of machine types had a splitting of their own, quadratic in the list, and the limit on a transaction's values stood in the records of dependencies; records of relays need both.

Change: splitBySize and MAX_TRANSACTION_BYTES in state-limits.ts. The parts of machine types are the same as before: the sizes are sums of the same JSON texts.

--- a/src/base/state-limits.ts
+++ b/src/base/state-limits.ts
@@ -18,6 +18,8 @@
 type LimitName = keyof StateLimits;
 
 const BYTES_PER_KB = 1024;
+/** Maximum size of the values of one transaction; the rest of its 64 KiB is for keys and conditions. */
+export const MAX_TRANSACTION_BYTES = 48 * BYTES_PER_KB;
 /** The acquisition of a shard needs this many changes in one transaction. */
 const MIN_TRANSACTION_CHANGES = 3;
 /** Maximum share of `write_rps` that one transaction may use; a transaction that needs all of it may wait forever. */
@@ -76,6 +78,28 @@
   return Buffer.byteLength(JSON.stringify(value));
 }
 
+/** Splits a list into lists of up to `maxBytes` bytes of JSON text each; undefined if a single item is larger. */
+export function splitBySize<T>(items: readonly T[], maxBytes: number): T[][] | undefined {
+  const emptyBytes = jsonBytes([]);
+  const lists: T[][] = [];
+  let list: T[] = [];
+  let listBytes = emptyBytes;
+  for (const item of items) {
+    const itemBytes = jsonBytes(item);
+    if (emptyBytes + itemBytes > maxBytes) return undefined;
+    const separatorBytes = list.length > 0 ? 1 : 0;
+    if (listBytes + separatorBytes + itemBytes > maxBytes) {
+      lists.push(list);
+      list = [];
+      listBytes = emptyBytes;
+    }
+    listBytes += itemBytes + (list.length > 0 ? 1 : 0);
+    list.push(item);
+  }
+  lists.push(list);
+  return lists;
+}
+
 /** The maximum size of a value, in bytes of JSON text. */
 export function maxValueBytes({ value_kb }: StateLimits): number {
   return Math.floor(value_kb * BYTES_PER_KB);
--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -1,5 +1,5 @@
 /** @file The records that hold a job's list of dependencies. */
-import { jsonBytes } from '../base/state-limits';
+import { jsonBytes, MAX_TRANSACTION_BYTES } from '../base/state-limits';
 import type { Job } from '../protocol/model';
 import type { Condition, KeyValueStore } from '../protocol/key-value-store';
 import { NoResponseError } from '../transport/http-client';
@@ -11,8 +11,6 @@
 const RESERVED_BYTES = 128;
 /** The size of the comma between two elements of a list. */
 const SEPARATOR_BYTES = 1;
-/** The protocol's limit on the body of a transaction, minus a reserve for keys. */
-const MAX_TRANSACTION_BYTES = 48 * 1024;
 
 /** The key-value store's limit on conditions is this multiple of its limit on changes. */
 const CONDITIONS_PER_CHANGE = 4;
--- a/src/bookkeeping/type-records.ts
+++ b/src/bookkeeping/type-records.ts
@@ -4,7 +4,7 @@
  * The list is stored in one record or, if it would not fit one value, in several parts. Parts that were written together
  * have the same edition; they are used only if all parts of the edition exist.
  */
-import { jsonBytes } from '../base/state-limits';
+import { jsonBytes, splitBySize } from '../base/state-limits';
 import type { MachineType } from '../protocol/model';
 import type { Change, Condition, KeyValueStore } from '../protocol/key-value-store';
 import { KEY, PREFIX, read } from './records';
@@ -75,7 +75,7 @@
     const condition = { key: KEY.types, version: records.version(KEY.types) };
     return [{ conditions: [condition], changes: [{ put: KEY.types, value: { types } }] }];
   }
-  const lists = splitTypes(types, limits.valueBytes - OVERHEAD_BYTES);
+  const lists = splitBySize(types, limits.valueBytes - OVERHEAD_BYTES);
   if (lists === undefined) return [];
   return partTransactions(lists, records, limits.changes);
 }
@@ -92,22 +92,6 @@
   return { edition: first.edition, of: first.of, types };
 }
 
-/** Splits the list of types into parts of up to `bytes` bytes; undefined if a single type is larger. */
-function splitTypes(types: readonly MachineType[], bytes: number): MachineType[][] | undefined {
-  const lists: MachineType[][] = [];
-  let list: MachineType[] = [];
-  for (const type of types) {
-    if (jsonBytes([type]) > bytes) return undefined;
-    if (jsonBytes([...list, type]) > bytes) {
-      lists.push(list);
-      list = [];
-    }
-    list.push(type);
-  }
-  lists.push(list);
-  return lists;
-}
-
 function partTransactions(
   lists: readonly MachineType[][],
   records: Records,
