Leave leases that expire during the check of the relay records to the next check

What callers could see: a task on two machines.

Cause: the owner chose the machines whose leases had expired after the response of the transaction that compares the relay records. If the response is late, or the process stands still meanwhile, a lease that expires in between counts as expired although a relay may have listed the machine and renewed the lease after the transaction was executed.

Change: only leases that had expired when the check began are dropped after it. Such a lease can't have been renewed after the transaction, for its worker has killed its tasks by then.

Evidence: the test of lease-expiry.test.ts with a response that takes 1.3 s and a relay record written just after the transaction starts both tasks of the second machine elsewhere before the change, and those of the first machine only after it.

--- a/src/coordination/scheduling/lease-expiry.ts
+++ b/src/coordination/scheduling/lease-expiry.ts
@@ -31,18 +31,21 @@
   }
 
   /**
-   * Drops all attempts on machines whose workers' leases have expired. Neither this owner nor a relay can have renewed
-   * these leases, so the workers have killed and forgotten their attempts.
+   * Drops all attempts on machines whose workers' leases had expired before the relay records were confirmed. Neither
+   * this owner nor a relay can have renewed these leases, so the workers have killed and forgotten their attempts. A
+   * lease that expires during the check, which may take long if this process stalls, is left to the next check: a relay
+   * may have renewed it since.
    */
   async dropExpired(): Promise<void> {
+    const { store, clock, log } = this.context;
+    const checkStartedAt = clock.now();
     // Without the store, relays can't be ruled out, so no attempt is dropped. Releasing a machine still ends its tasks.
-    if (this.context.store.isUnavailable || this.#expired(this.context.clock.now()).length === 0) return;
+    if (store.isUnavailable || this.#expired(checkStartedAt).length === 0) return;
     if (!(await this.shard.confirmRelayRecords())) return;
     // The watch cache now contains all relay records that were written before the check.
-    const now = this.context.clock.now();
-    this.assumeRenewedIfRelayed(now);
-    for (const machine of this.#expired(now)) {
-      this.context.log.info({ machine: machine.id, attempts: machine.attempts.size }, 'worker lease expired');
+    this.assumeRenewedIfRelayed(clock.now());
+    for (const machine of this.#expired(checkStartedAt)) {
+      log.info({ machine: machine.id, attempts: machine.attempts.size }, 'worker lease expired');
       this.attempts.dropAllAttempts(machine);
     }
   }
--- a/test/lease-expiry.test.ts
+++ b/test/lease-expiry.test.ts
@@ -7,6 +7,7 @@
 import { dropReleaseRequests } from './failover-steps';
 import { tasksOf } from './fault-steps';
 import { STORE_ADDRESS } from './fakes/controller-settings';
+import type { Request } from './fakes/network';
 import { SimulatedCluster } from './fakes/simulated-cluster';
 
 const LEASE_MS = 10_000;
@@ -14,6 +15,9 @@
 const EXPIRY_MS = LEASE_MS * 1.002 + 500;
 /** A watch that is open when its successors begin to get lost still brings changes for up to this long. */
 const OPEN_WATCH_MS = 1_100;
+/** Less than the timeout of the owner's requests. */
+const CHECK_DELAY_MS = 1_300;
+const NEWS_DELAY_MS = 2_000;
 
 interface BusyCluster {
   readonly cluster: SimulatedCluster;
@@ -123,6 +127,69 @@
   await cluster.until('they run elsewhere', () => startedElsewhere(cluster, machine, tasks).length === 2, 15);
 });
 
+// Fails if the leases that expire while the check is in flight are dropped, too.
+test('a lease that expires while the check of the relay records is in flight is not taken for expired', async () => {
+  const busy = await busyCluster();
+  const { cluster, owner } = busy;
+  const machines = busyMachines(cluster);
+  const [first = ''] = machines;
+  const firstTasks = tasksOn(cluster, first);
+  cluster.isolateWorker(first);
+  const firstStart = latestLeaseStart(busy, first);
+  await advanceTo(cluster, firstStart + 1_200);
+  const second = machines.find((id) => {
+    const sinceFirst = latestLeaseStart(busy, id) - firstStart;
+    return sinceFirst > 800 && sinceFirst < 1_150;
+  });
+  assert.ok(second !== undefined, 'a heartbeat of another machine was answered at the right time');
+  cluster.isolateWorker(second);
+  const tasks = tasksOn(cluster, second);
+  const secondStart = latestLeaseStart(busy, second);
+  await advanceTo(cluster, firstStart + 6_000);
+  cluster.isolateFromPeers(owner);
+  await advanceTo(cluster, firstStart + 9_000);
+  const checkedAt = delayNextCheck(cluster, owner);
+  await cluster.until('the relay records are checked', () => checkedAt() !== undefined, 3);
+  await renewAtRelay(busy, second);
+  assert.ok(cluster.clock.now() < secondStart + EXPIRY_MS, 'the second lease has not expired yet');
+  await advanceTo(cluster, (checkedAt() ?? 0) + 2_000);
+  assert.ok(cluster.clock.now() > secondStart + EXPIRY_MS);
+  assert.equal(cluster.owner, owner);
+  assert.deepEqual(startedElsewhere(cluster, second, tasks), []);
+  assert.equal(
+    startedElsewhere(cluster, first, firstTasks).length,
+    2,
+    'those of the first machine run elsewhere',
+  );
+});
+
+/**
+ * Delays the response to the owner's next check of the relay records, and for longer the news of a relay record. Returns
+ * the time at which the check was executed, once it was.
+ */
+function delayNextCheck(cluster: SimulatedCluster, owner: number): () => number | undefined {
+  let checkedAt: number | undefined;
+  cluster.network.attach(STORE_ADDRESS, async (request) => {
+    const response = await cluster.store.handle(request);
+    if (request.from !== `node-${owner}`) return response;
+    if (checkedAt === undefined && isRelayCheck(request)) {
+      assert.equal(response.status, 200);
+      checkedAt = cluster.clock.now();
+      await cluster.clock.sleep(CHECK_DELAY_MS);
+    } else if (request.path.startsWith('/changes') && JSON.stringify(response.body).includes('live/keep/')) {
+      await cluster.clock.sleep(NEWS_DELAY_MS);
+    }
+    return response;
+  });
+  return () => checkedAt;
+}
+
+function isRelayCheck({ path, body }: Request): boolean {
+  if (path !== '/txn') return false;
+  const { apply = [], guards = [] } = body as { apply?: unknown[]; guards?: { path: string }[] };
+  return apply.length === 0 && guards.some((guard) => guard.path.startsWith('live/keep/'));
+}
+
 // Fails if a record without a list, as the production version writes it, counts as a record of no machine.
 test('a relay record without a list of machines keeps the leases of all machines', async () => {
   const busy = await busyCluster();
