Release machines that the cloud no longer has, however many of a shard they are

What callers saw: nothing by itself. Machines that are gone stay recorded for ever if 70% of the shard's machines are; from then on their owner takes itself for unreachable, its peers name it to no worker, and every further silent machine looks like one behind a partition and is not re-issued eagerly.

Cause: silence alone told machines that are gone from machines behind a partition, and the more of them are silent, the less it tells. The cloud's list wasn't asked, because it lags.

Change: a list that was requested later than twice its lag after a machine's last heartbeat describes a time at which the machine existed; since a machine stays listed until it is gone, one that such a list lacks is gone. It is released, which confirms that its tasks have ended; that would be safe even if the list were wrong.

Evidence: five of six machines gone, with nothing to rent: their records are deleted within 30 s; the test fails without the change.

--- a/src/coordination/controller-components.ts
+++ b/src/coordination/controller-components.ts
@@ -19,6 +19,8 @@
 import { PeerMessaging } from './peer-messaging';
 import { Readiness } from './readiness';
 
+const MS_PER_S = 1000;
+
 /** The components of a controller for shard ownership, leadership and communication with its peers. */
 interface CoordinationComponents {
   readonly progress: JobProgressTable;
@@ -67,9 +69,10 @@
   { context }: ControllerServices,
   environment: Environment,
 ): CoordinationComponents {
-  const { clock, cache, cloud, suspicion } = context;
+  const { clock, cache, cloud, settings, suspicion } = context;
   const reachability = new PeerReachability(clock, suspicion ?? new FixedTimeoutDetector(clock));
-  const cloudInventory = new CloudInventory(cloud, clock);
+  const listLagMs = settings.platform.deployment.cloud.list_lag_s * MS_PER_S;
+  const cloudInventory = new CloudInventory(cloud, clock, listLagMs);
   const broadcast = (message: PeerMessage): void => {
     environment.broadcast(writePeerMessage(message));
   };
--- a/src/coordination/controller-loops.ts
+++ b/src/coordination/controller-loops.ts
@@ -69,10 +69,7 @@
 async function refreshCloudInventory(components: ControllerComponents, signal: AbortSignal): Promise<void> {
   const { cloudInventory, leader, acquisition } = components;
   await cloudInventory.step(signal, () => leader.isLeader || acquisition.owners.size > 0);
-  for (const { id, state } of cloudInventory.machines()) {
-    if (state !== 'failed') continue;
-    for (const owner of acquisition.owners.values()) owner.onMachineFailed(id);
-  }
+  for (const owner of acquisition.owners.values()) owner.onMachinesListed(cloudInventory);
 }
 
 function startJobLoops(components: ControllerComponents, signal: AbortSignal, start: StartLoop): void {
--- a/src/coordination/shard/shard-owner.ts
+++ b/src/coordination/shard/shard-owner.ts
@@ -7,6 +7,7 @@
 import type { HandoverTrace } from '../../suspicion/handover-trace';
 import { Autoscaler } from '../autoscaling/autoscaler';
 import type { AutoscalerShard } from '../autoscaling/autoscaler-shard';
+import type { CloudInventory } from '../autoscaling/cloud-inventory';
 import type { InstanceOption, ScalingInput } from '../autoscaling/scaling-plan';
 import type { ControllerContext } from '../controller-context';
 import { FencingTokenRaiser } from '../ownership/fencing-token-raiser';
@@ -219,11 +220,21 @@
     this.#wake.wake();
   }
 
-  /** Drains a machine that the cloud lists as failed, though no controller terminated it. */
-  onMachineFailed(id: string): void {
-    const machine = this.machines.get(id);
-    if (!machine || machine.drainReason === 'unresponsive') return;
-    this.context.log.info({ machine: id }, 'cloud lists machine as failed');
+  /** Drains machines that the cloud lists as failed or no longer has, though no controller terminated them. */
+  onMachinesListed(inventory: Pick<CloudInventory, 'machines' | 'isGone'>): void {
+    for (const { id, state } of inventory.machines()) {
+      const machine = state === 'failed' ? this.machines.get(id) : undefined;
+      if (machine) this.#drainLost(machine, 'cloud lists machine as failed');
+    }
+    for (const machine of this.machines.values()) {
+      const isGone = inventory.isGone(machine.id, machine.lastHeartbeatAt ?? machine.firstSeenAt);
+      if (isGone) this.#drainLost(machine, 'cloud no longer has machine');
+    }
+  }
+
+  #drainLost(machine: Machine, message: string): void {
+    if (machine.isTerminated || machine.drainReason === 'unresponsive') return;
+    this.context.log.info({ machine: machine.id }, message);
     machine.drainAsUnresponsive();
   }
 
--- a/test/fixed-limits.test.ts
+++ b/test/fixed-limits.test.ts
@@ -115,7 +115,7 @@
       return Promise.resolve(listed);
     },
   } as unknown as Cloud;
-  const inventory = new CloudInventory(cloud, clock);
+  const inventory = new CloudInventory(cloud, clock, 0);
   const { signal } = new AbortController();
   const runInventory = async (): Promise<void> => {
     for (;;) await inventory.step(signal, () => true);
--- a/test/gone-machines.test.ts
+++ b/test/gone-machines.test.ts
@@ -72,3 +72,14 @@
   await cluster.assertJobsFinish(150);
   assert.deepEqual(cluster.invariants.unfinishedJobs, []);
 });
+
+// Fails if machines that are gone are kept like those behind a partition; then every later fault looks like one, too.
+test('machines that the cloud no longer has are released, however many of the shard they are', async () => {
+  const cluster = await oneTaskOnEachMachine();
+  const [last = '', ...gone] = busyMachines(cluster);
+  for (const id of gone) cluster.worker(id).terminate();
+  await cluster.clock.advance(30_000);
+  const recorded = [...cluster.store.data.keys()].filter((key) => key.startsWith('live/machine/'));
+  assert.deepEqual(recorded, [`live/machine/${last}`]);
+  cluster.assertInvariants();
+});
