Test that a relay's record is written only over the list that it was made from

The condition had no test: without it every test passes, and a list that is written late could replace a newer one, under which the relay already answers workers.

Measured: the new test fails with the condition taken out.

--- a/test/lease-relay.test.ts
+++ b/test/lease-relay.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import type { ControllerContext } from '../src/coordination/controller-context';
 import { LeaseRelay } from '../src/coordination/ownership/lease-relay';
-import type { CompareAndSwapResult } from '../src/protocol/key-value-store';
+import type { ChangeEvent, CompareAndSwapResult, Condition, Entry } from '../src/protocol/key-value-store';
 import { parseHeartbeat } from '../src/protocol/workers';
 import { FixedTimeoutDetector } from '../src/suspicion/peer-liveness';
 import { PeerReachability } from '../src/suspicion/peer-reachability';
@@ -20,18 +20,25 @@
   assert.ok(heartbeat);
   const lease = { key: 'live/lease/0', value: { owner: 'node-1', token: 7 }, version: 1 };
   const session = { isValid: true, lease: 3, isValidByOwnLease: true };
+  const records = new Map<string, Entry>();
   const writes: ((result: CompareAndSwapResult) => void)[] = [];
+  const conditionsOfWrites: Condition[][] = [];
   const context = {
     controllerId: 'node-0',
     clock: cluster.clock,
     settings: cluster.controllers[0]?.controller.settings,
     cache: {
       isLoaded: true,
-      get: (key: string) => (key === lease.key || key === 'live/job/req-1' ? lease : undefined),
-      applyNotification: () => undefined,
+      get: (key: string) => (key === lease.key || key === 'live/job/req-1' ? lease : records.get(key)),
+      applyNotification: ({ key, value, version }: ChangeEvent) => records.set(key, { key, value, version }),
     },
     session,
-    store: { compareAndSwap: () => new Promise((resolve) => writes.push(resolve)) },
+    store: {
+      compareAndSwap: (conditions: Condition[]) => {
+        conditionsOfWrites.push(conditions);
+        return new Promise((resolve) => writes.push(resolve));
+      },
+    },
     log: { info: () => undefined },
   };
   const relay = new LeaseRelay(
@@ -39,7 +46,7 @@
     new PeerReachability(cluster.clock, new FixedTimeoutDetector(cluster.clock)),
   );
   await cluster.clock.advance(5_000);
-  return { relay, heartbeat, session, writes };
+  return { relay, heartbeat, session, writes, conditionsOfWrites };
 }
 
 // Fails if a worker gets a response before the record that lists its machine is acknowledged.
@@ -87,3 +94,19 @@
   await relay.step();
   assert.equal(await response, undefined);
 });
+
+// Fails if a write that is executed late can replace a newer list: the relay would answer workers that no record lists.
+test('a relay writes its record on the condition that it has not changed since', async () => {
+  const { relay, heartbeat, writes, conditionsOfWrites } = await silentOwner();
+  for (const [machine, version] of [
+    ['host-000001', 2],
+    ['host-000002', 3],
+  ] as const) {
+    void relay.respond({ ...heartbeat, machine }, 0);
+    const step = relay.step();
+    writes.at(-1)?.({ ok: true, revision: version });
+    await step;
+  }
+  const key = 'live/keep/0/node-0';
+  assert.deepEqual(conditionsOfWrites, [[{ key, version: 0 }], [{ key, version: 2 }]]);
+});
