Simulation: the lease of a worker on a hanging machine ends in every case

Cause: the simulation had two kinds of hanging machines. One that began to hang between two heartbeats lost its tasks at the end of its lease, as the protocol says (it may go on within its lease); one that began to hang while a heartbeat waited for its response kept them until it went on. If the second kind were right, no lease would ever allow a task to be started elsewhere, and every such start would count as ran_twice.

Change: the worker ends its lease when it expires, whether or not the machine hangs and a heartbeat is out. Nothing else gets easier: its tasks never go on after the lease.

--- a/test/fakes.test.ts
+++ b/test/fakes.test.ts
@@ -44,6 +44,31 @@
   assert.deepEqual([...worker.attempts.keys()], []);
 });
 
+for (const isHeartbeatInFlight of [false, true]) {
+  test(`a machine that hangs ${isHeartbeatInFlight ? 'with a heartbeat in flight' : 'between two heartbeats'} keeps its tasks for a lease, not longer`, async () => {
+    const cluster = new SimulatedCluster();
+    await cluster.submit('req-1', { reckonS: 300 }, 300);
+    await cluster.until('it runs', () => cluster.machineOf('req-1/0') !== undefined);
+    const machine = cluster.machineOf('req-1/0') ?? '';
+    cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    await cluster.clock.advance(2_000);
+    const hang = (): void => {
+      cluster.worker(machine).isHanging = true;
+    };
+    cluster.network.rule(({ from }) => {
+      if (isHeartbeatInFlight && from === machine) hang();
+      return undefined;
+    });
+    await cluster.clock.advance(1_000);
+    hang();
+    await cluster.clock.advance(8_000);
+    assert.equal(cluster.machineOf('req-1/0'), machine);
+    await cluster.clock.advance(3_000);
+    assert.notEqual(cluster.machineOf('req-1/0'), machine);
+    assert.equal(cluster.worker(machine).attempts.size, 0);
+  });
+}
+
 test('a delayed transaction is checked against the conditions, leases and faults at its execution', async () => {
   const cluster = new SimulatedCluster();
   await cluster.untilOwned();
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -41,8 +41,6 @@
 const RETRY_DELAY_MS = 1_000;
 const REDIRECT_DELAY_MS = 100;
 const HANG_CHECK_INTERVAL_MS = 100;
-/** Least time between two checks of the lease; while the machine hangs, an expired lease has to wait for its end. */
-const MIN_LEASE_CHECK_INTERVAL_MS = 50;
 
 /** A worker on a fake machine. */
 export class FakeWorker {
@@ -227,13 +225,16 @@
     return RETRY_DELAY_MS;
   }
 
-  /** Checks the lease whenever it may have expired, also while a heartbeat waits for its response. */
+  /**
+   * Checks the lease whenever it may have expired, also while a heartbeat waits for its response or the machine hangs: a
+   * machine that hangs may go on within its lease, not after it.
+   */
   async #watchLease(): Promise<void> {
     const { clock } = this.environment;
     while (!this.isTerminated) {
       const leftMs = this.#leaseStartedAt + this.settings.leaseS * 1000 - clock.now();
-      await clock.sleep(Math.max(MIN_LEASE_CHECK_INTERVAL_MS, leftMs + 1));
-      if (!this.isHanging && !this.isTerminated) this.#checkLease();
+      await clock.sleep(leftMs + 1);
+      if (!this.isTerminated) this.#checkLease();
     }
   }
 
