--- a/test/cancellation-bound.test.ts
+++ b/test/cancellation-bound.test.ts
@@ -2,14 +2,10 @@
 import { test } from 'node:test';
 import { makeSettings, LEASE_EXTENSION_MS } from '../src/base/settings';
 import { MAX_CLOCK_DRIFT } from '../src/bookkeeping/session';
-import type { ControllerContext } from '../src/coordination/controller-context';
-import { LeaseRelay } from '../src/coordination/ownership/lease-relay';
-import { FixedTimeoutDetector } from '../src/suspicion/peer-liveness';
-import { PeerReachability } from '../src/suspicion/peer-reachability';
 import type { ChangeEvent } from '../src/protocol/key-value-store';
-import { parseHeartbeat } from '../src/protocol/workers';
 import { ScriptedWatch } from './fakes/scripted-watch';
 import { CANCEL_S, SimulatedCluster } from './fakes/simulated-cluster';
+import { dropReleaseRequests } from './failover-steps';
 
 /** Starts a job to be cancelled and another, both long-running. Returns the owner and the two other controllers. */
 async function busyCluster(
@@ -74,7 +70,7 @@
 
 test('a delayed start command of a cancelled job has no effect, although the fencing token cannot be raised', async () => {
   const { cluster, owner, second } = await busyCluster();
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   cluster.addWorker();
   await cluster.clock.advance(13_000);
   const heldAddresses: string[] = [];
@@ -154,42 +150,6 @@
   cluster.assertInvariants();
 });
 
-test('a relay responds only while its own lease is valid, not under a lease extension', async () => {
-  const cluster = new SimulatedCluster();
-  await cluster.submit('req-1', { pieces: 1 }, 300);
-  await cluster.until('the task runs', () => cluster.runningTasks.length === 1);
-  const heartbeat = parseHeartbeat(cluster.worker(cluster.machineOf('req-1/0') ?? '').nextHeartbeat());
-  assert.ok(heartbeat);
-  const lease = { key: 'live/lease/0', value: { owner: 'node-1', token: 7 }, version: 1 };
-  for (const ownLease of [true, false]) {
-    const context = {
-      controllerId: 'node-0',
-      clock: cluster.clock,
-      settings: cluster.controllers[0]?.controller.settings,
-      cache: {
-        isLoaded: true,
-        get: (key: string) => (key === lease.key || key === 'live/job/req-1' ? lease : undefined),
-        version: () => 0,
-        applyNotification: () => undefined,
-      },
-      session: { isValid: true, lease: 3, isValidByOwnLease: ownLease },
-      store: { compareAndSwap: () => Promise.resolve({ ok: true, revision: 2 }) },
-      log: { info: () => undefined },
-    };
-    const relay = new LeaseRelay(
-      context as unknown as ControllerContext,
-      new PeerReachability(cluster.clock, new FixedTimeoutDetector(cluster.clock)),
-    );
-    await cluster.clock.advance(5_000);
-    // The first response waits for the record that lists the machine, the second finds it.
-    const first = relay.respond(heartbeat, 0);
-    await relay.step();
-    const expected = ownLease ? { fencingToken: 7, commands: [] } : undefined;
-    assert.deepEqual(await first, expected);
-    assert.deepEqual(relay.respond(heartbeat, 0), expected);
-  }
-});
-
 function platformSettings(lease_s: number, cancel_s: number): unknown {
   return {
     node: 'node-0',
--- a/test/delayed-messages.test.ts
+++ b/test/delayed-messages.test.ts
@@ -4,6 +4,7 @@
 import { SimulatedCluster } from './fakes/simulated-cluster';
 import type { FakeWorker } from './fakes/worker';
 import { changeLeader, placements, replayHeartbeats, startCount, tasksOf } from './fault-steps';
+import { dropReleaseRequests } from './failover-steps';
 
 test('heartbeats are replayed to every controller during a failover and after it: no task moves', async () => {
   const cluster = new SimulatedCluster();
@@ -139,7 +140,7 @@
 
 test('a heartbeat delayed until the new leader has declared the worker dead brings back no attempts', async () => {
   const cluster = new SimulatedCluster();
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   await cluster.submit('req-1', { pieces: 2, reckonS: 60 }, 60);
   await cluster.until('2 tasks run', () => cluster.runningTasks.length === 2);
   const worker = cluster.worker(cluster.machineOf('req-1/0') ?? '');
--- a/test/fakes.test.ts
+++ b/test/fakes.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SimulatedCluster } from './fakes/simulated-cluster';
+import { dropReleaseRequests } from './failover-steps';
 
 test('a machine that resumes checks its lease first, then executes the queued commands', async () => {
   const cluster = new SimulatedCluster();
@@ -20,7 +21,7 @@
   };
   await cluster.submit('req-2', {}, 20, 1);
   // The owner must not release the machine meanwhile.
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   worker.isHanging = true;
   post(orders('req-2/0'));
   await cluster.clock.advance(5_000);
@@ -50,7 +51,7 @@
     await cluster.submit('req-1', { reckonS: 300 }, 300);
     await cluster.until('it runs', () => cluster.machineOf('req-1/0') !== undefined);
     const machine = cluster.machineOf('req-1/0') ?? '';
-    cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+    dropReleaseRequests(cluster);
     await cluster.clock.advance(2_000);
     const hang = (): void => {
       cluster.worker(machine).isHanging = true;
--- a/test/fault-steps.ts
+++ b/test/fault-steps.ts
@@ -1,4 +1,5 @@
 /** @file Shared steps of the tests with combined faults. */
+import { dropReleaseRequests } from './failover-steps';
 import type { SimulatedCluster } from './fakes/simulated-cluster';
 
 /**
@@ -9,7 +10,7 @@
   await cluster.clock.advance(50_000);
   for (let n = 0; n < 4; n += 1) cluster.addWorker('b');
   await cluster.clock.advance(13_000);
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
 }
 
 /** The running tasks of a job. */
--- a/test/lease-relay.test.ts
+++ b/test/lease-relay.test.ts
@@ -75,6 +75,20 @@
   assert.equal(await response, undefined);
 });
 
+for (const isValidByOwnLease of [true, false]) {
+  test(`a relay whose session is ${isValidByOwnLease ? 'valid by its own lease' : 'valid only under a lease extension'} ${isValidByOwnLease ? 'responds' : "doesn't respond"}`, async () => {
+    const { relay, heartbeat, session, writes } = await silentOwner();
+    session.isValidByOwnLease = isValidByOwnLease;
+    const first = relay.respond(heartbeat, 0);
+    const step = relay.step();
+    writes[0]?.({ ok: true, revision: 2 });
+    await step;
+    const expected = isValidByOwnLease ? RESPONSE : undefined;
+    assert.deepEqual(await first, expected);
+    assert.deepEqual(relay.respond(heartbeat, 0), expected);
+  });
+}
+
 // Fails if the session is looked at only before the record is written.
 test('a relay whose session ends while its record is written answers no worker', async () => {
   const { relay, heartbeat, session, writes } = await silentOwner();
--- a/test/network-partitions.test.ts
+++ b/test/network-partitions.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import type { FakeWorker } from './fakes/worker';
 import { SimulatedCluster } from './fakes/simulated-cluster';
+import { dropReleaseRequests } from './failover-steps';
 
 /** Drops all responses and commands to a machine from now on, while its heartbeats arrive. */
 function dropDeliveriesTo(
@@ -44,7 +45,7 @@
 test('a machine that receives nothing is detected by its new incarnation, before any task is started there', async () => {
   const cluster = new SimulatedCluster();
   // The machine can't be released: release requests to the cloud are lost.
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   await cluster.submit('req-1', { pieces: 1 }, 2);
   await cluster.untilJobState('req-1', 'done');
   const worker = [...cluster.workers.values()][0];
@@ -70,7 +71,7 @@
   const worker = cluster.worker(cluster.machineOf('req-1/0') ?? '');
   const spareMachines = [cluster.addWorker('b'), cluster.addWorker('b')];
   await cluster.clock.advance(13_000);
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   dropDeliveriesTo(cluster, worker, []);
   cluster.kill(cluster.owner);
   await cluster.clock.advance(100);
--- a/test/zones.test.ts
+++ b/test/zones.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SimulatedCluster } from './fakes/simulated-cluster';
+import { dropReleaseRequests } from './failover-steps';
 
 /** Partitions half of the machines and one controller from the owner and the third controller. */
 async function partitionZones(
@@ -61,7 +62,7 @@
 test('during a partition, the tasks of near machines that are gone run again, and those with relayed leases only once', async () => {
   const cluster = new SimulatedCluster();
   const { far } = await partitionZones(cluster);
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   await cluster.clock.advance(15_000);
   const isFar = (task: string): boolean => far.includes(cluster.machineOf(task) ?? '');
   const near = cluster.runningTasks.filter((task) => !isFar(task));
@@ -88,7 +89,7 @@
 test('when the relay dies, the tasks of its workers are re-issued only after their leases have expired', async () => {
   const cluster = new SimulatedCluster();
   const { owner, relay, far } = await partitionZones(cluster);
-  cluster.network.rule(({ path }) => (path === '/hosts/release' ? 'lose' : undefined));
+  dropReleaseRequests(cluster);
   await cluster.clock.advance(15_000);
   assert.equal(cluster.runningTasks.length, 32);
   cluster.kill(relay);
