Simulation: users repeat a cancellation that got 404 before its job was accepted

Cause: at its end the simulation repeated unanswered cancellations once.

Change: the cancellations are repeated, as the protocol says of users, until each has its answer, at most three times; every accepted job has to be final as before.

--- a/test/simulation/end-phase.ts
+++ b/test/simulation/end-phase.ts
@@ -7,6 +7,8 @@
 const JOBS_FINISH_TIMEOUT_S = 600;
 /** Covers the retries of cancellations without a response, and the time limit for the latest cancellation. */
 const CANCELLATIONS_SETTLE_MS = 40_000;
+/** A job may be accepted after its cancellation got 404, since a user repeats a submission for a minute. */
+const MAX_CANCELLATION_ROUNDS = 3;
 const RESPONSES_ARRIVE_MS = 6_000;
 
 /** Ends all faults, restarts killed controllers, and checks that every accepted job becomes final. */
@@ -19,8 +21,7 @@
   async run(): Promise<void> {
     this.#endFaults();
     await this.#untilJobsFinish();
-    this.#repeatCancellations();
-    await this.context.cluster.clock.advance(CANCELLATIONS_SETTLE_MS);
+    await this.#untilCancellationsSettle();
     // A job that was done before its cancellation is not cancelled, so its dependents still run.
     await this.#untilJobsFinish();
     await this.#pollAllJobs();
@@ -43,16 +44,23 @@
     });
   }
 
-  /** Repeats cancellations that had no effect because they arrived before the job was accepted. */
-  #repeatCancellations(): void {
-    const { invariants } = this.context.cluster;
-    for (const id of invariants.acceptedJobs) {
-      if (invariants.finalState(id) === undefined && invariants.isCancellationRequested(id)) {
-        this.users.cancel(id);
-      }
+  /** Repeats cancellations that had no effect because they arrived before the job was accepted, as users do. */
+  async #untilCancellationsSettle(): Promise<void> {
+    const { clock } = this.context.cluster;
+    for (let round = 0; round < MAX_CANCELLATION_ROUNDS; round += 1) {
+      for (const id of this.#unsettledCancellations()) this.users.cancel(id);
+      await clock.advance(CANCELLATIONS_SETTLE_MS);
+      if (this.#unsettledCancellations().length === 0) return;
     }
   }
 
+  #unsettledCancellations(): string[] {
+    const { invariants } = this.context.cluster;
+    return invariants.acceptedJobs.filter(
+      (id) => invariants.finalState(id) === undefined && invariants.isCancellationRequested(id),
+    );
+  }
+
   async #pollAllJobs(): Promise<void> {
     const { invariants, clock } = this.context.cluster;
     const { acceptedJobs } = invariants;
