--- a/test/malformed-bytes.test.ts
+++ b/test/malformed-bytes.test.ts
@@ -90,24 +90,41 @@
   assert.equal(reasonFor(nested(MAX_DEPTH)), 'accepted');
 });
 
+const HEARTBEAT = {
+  hearth: 'host-1',
+  endpoint: '10.1.0.2:9000',
+  frame: 'm16',
+  yard: 'a',
+  loaners: true,
+  shift: 1,
+  tally: 7,
+  baton: 3,
+  pieces: [] as unknown[],
+};
+
+test('a machine name that does not fit a key and texts that are too long to store are refused', () => {
+  const long = 'x'.repeat(201);
+  for (const fields of [
+    { hearth: 'host 1' },
+    { hearth: 'é'.repeat(76) },
+    { hearth: '' },
+    { frame: long },
+    { yard: long },
+  ]) {
+    const [field] = Object.keys(fields);
+    const result = readHeartbeat(codec.encode({ ...HEARTBEAT, ...fields }));
+    assert.match(result.ok ? 'accepted' : result.problem, new RegExp(`^${field}: `));
+  }
+  assert.ok(readHeartbeat(codec.encode({ ...HEARTBEAT, hearth: 'é'.repeat(75) })).ok);
+});
+
 test('a full heartbeat and a submission with the most machine types stay within the bounds', () => {
   const pieces = Array.from({ length: 1_100 }, (_, n) => ({
     piece: `req-1/${n}`,
     try: 1,
     standing: 'running',
   }));
-  const heartbeat = {
-    hearth: 'host-1',
-    endpoint: '10.1.0.2:9000',
-    frame: 'm16',
-    yard: 'a',
-    loaners: true,
-    shift: 1,
-    tally: 7,
-    baton: 3,
-    pieces,
-  };
-  const result = readHeartbeat(codec.encode(heartbeat));
+  const result = readHeartbeat(codec.encode({ ...HEARTBEAT, pieces }));
   assert.ok(result.ok);
   assert.equal(result.value.attempts.length, pieces.length);
   const frames = Array.from({ length: 1_000 }, (_, n) => String.fromCharCode(97 + (n % 26)));
