--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -13,11 +13,11 @@
 import { Controller } from '../coordination/controller';
 import type { Environment } from '../coordination/environment';
 import { createRoutes } from '../coordination/routes';
-import { codec } from '../protocol/codec';
+import { codec, externalCodec } from '../protocol/codec';
 import { reasonOf } from '../protocol/schemas';
 import { Connections } from '../transport/connections';
 import type { PoolLimits } from '../transport/bounded-agent';
-import { HttpClient } from '../transport/http-client';
+import { HttpClient, type Codec } from '../transport/http-client';
 import { createServer } from '../transport/http-server';
 import { readSuspicionOptions } from '../suspicion/options';
 import { listenForPeers, PeerSender } from '../transport/peer-link';
@@ -107,13 +107,17 @@
     refusedMessages,
     signal,
     connections,
-    workers: createHttpClient({ perHost: 1, idle }, refusedMessages),
+    workers: createHttpClient(codec, { perHost: 1, idle }, refusedMessages),
     peers: platform.others.map((peer) => new PeerSender(peer.peer_addr, { clock: systemClock, log, signal })),
   };
 }
 
-function createHttpClient(connections: PoolLimits, refusedMessages: RefusedMessages): HttpClient {
-  return new HttpClient(codec, connections, MAX_RESPONSE_BYTES, (target, path, error) => {
+function createHttpClient(
+  responseCodec: Codec,
+  connections: PoolLimits,
+  refusedMessages: RefusedMessages,
+): HttpClient {
+  return new HttpClient(responseCodec, connections, MAX_RESPONSE_BYTES, (target, path, error) => {
     const message = `response to ${path.split('?')[0] ?? ''}`;
     refusedMessages.add({ message, sender: target, problem: reasonOf(error) });
   });
@@ -130,7 +134,7 @@
     refusedMessages,
     // This pool is separate from the pool for workers, so that idle connections to workers can't evict those to the
     // key-value store: without free sockets, a new connection fails, and so does the lease renewal that needs it.
-    http: createHttpClient({ perHost: external, idle: () => 2 * external }, refusedMessages),
+    http: createHttpClient(externalCodec, { perHost: external, idle: () => 2 * external }, refusedMessages),
     workers,
     broadcast: (bytes) => {
       for (const peer of peers) peer.send(bytes);
--- a/src/protocol/decoded-size.ts
+++ b/src/protocol/decoded-size.ts
@@ -39,7 +39,11 @@
 export class DecodedSize {
   #remainingBytes: number;
 
-  constructor(messageBytes: number) {
+  constructor(
+    messageBytes: number,
+    /** Whether text that is not valid UTF-8 is accepted. */
+    private readonly acceptsInvalidText = false,
+  ) {
     this.#remainingBytes = MAX_DECODED_BYTES_PER_BYTE * Math.max(messageBytes, MIN_MESSAGE_BYTES);
   }
 
@@ -49,13 +53,15 @@
     if (this.#remainingBytes < 0) throw new MalformedMessageError('too many values for its length');
   }
 
-  /** Adds the text in a range of the message; throws `MalformedMessageError` when it isn't valid UTF-8. */
+  /** Adds the text in a range of the message; throws `MalformedMessageError` when it isn't valid UTF-8, unless accepted. */
   addText(message: Uint8Array, from: number, end: number): void {
     if (isAscii(message, from, end)) {
       this.add(TEXT_BYTES + end - from);
       return;
     }
-    if (!isUtf8(message.subarray(from, end))) throw new MalformedMessageError('text that is not valid UTF-8');
+    if (!this.acceptsInvalidText && !isUtf8(message.subarray(from, end))) {
+      throw new MalformedMessageError('text that is not valid UTF-8');
+    }
     this.add(TEXT_BYTES + BYTES_PER_WIDE_CHARACTER * (end - from));
   }
 }
--- a/src/protocol/message-pack-check.ts
+++ b/src/protocol/message-pack-check.ts
@@ -69,8 +69,8 @@
  * Throws `MalformedMessageError` unless the bytes are exactly one value as the protocols use them: text keys, valid UTF-8,
  * nothing binary, within the bounds of `decoded-size.ts`. Allocates nothing that depends on the message.
  */
-export function checkMessagePack(message: Uint8Array): void {
-  const check = new MessagePackCheck(message);
+export function checkMessagePack(message: Uint8Array, acceptsInvalidText = false): void {
+  const check = new MessagePackCheck(message, acceptsInvalidText);
   check.checkValue(0);
   check.checkEnd();
 }
@@ -79,8 +79,11 @@
   #position = 0;
   readonly #size: DecodedSize;
 
-  constructor(private readonly message: Uint8Array) {
-    this.#size = new DecodedSize(message.length);
+  constructor(
+    private readonly message: Uint8Array,
+    acceptsInvalidText: boolean,
+  ) {
+    this.#size = new DecodedSize(message.length, acceptsInvalidText);
   }
 
   checkEnd(): void {
--- a/test/malformed-bytes.test.ts
+++ b/test/malformed-bytes.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { RefusedMessages } from '../src/base/refused-messages';
 import { read } from '../src/bookkeeping/records';
-import { codec } from '../src/protocol/codec';
+import { codec, externalCodec } from '../src/protocol/codec';
 import { MAX_DEPTH, MalformedMessageError } from '../src/protocol/decoded-size';
 import { decodePeerMessage, writePeerMessage, type PeerMessage } from '../src/protocol/peers';
 import { readSubmission } from '../src/protocol/users';
@@ -181,6 +181,16 @@
   }
 });
 
+test('a stored record with text that is not valid UTF-8 does not hide the other records of its page', () => {
+  const image = Buffer.from([0xaa, ...Buffer.from('img-600'), 0xed, 0xa0, 0x80]);
+  const other = Buffer.from(codec.encode({ image: 'img-1' }));
+  const page = Buffer.concat([Buffer.from([0x92, 0x81, 0xa5]), Buffer.from('image'), image, other]);
+  assert.equal(reasonFor(page), 'text that is not valid UTF-8');
+  const [invalid, valid] = externalCodec.decode(page) as { image: string }[];
+  assert.equal(invalid?.image.startsWith('img-600'), true);
+  assert.deepEqual(valid, { image: 'img-1' });
+});
+
 test('a submission whose text is not valid UTF-8 gets 400 at every controller, and nothing is stored', async () => {
   const cluster = new SimulatedCluster();
   await cluster.untilOwned();
