Count only undecodable frames as malformed; one lookup of decoders in the tests

A read of the whole change found that the handling of a peer message stood inside the try block of its decoding: a fault of a handler was counted as a malformed message of the sender, and hidden. The new test in malformed-bytes.test.ts fails before this change and passes with it.

The tests looked up decoders in three places, and had the fields of a heartbeat twice.

--- a/src/coordination/peer-messaging.ts
+++ b/src/coordination/peer-messaging.ts
@@ -35,14 +35,16 @@
 
   /** Delivers the message in a frame that came from the address `sender`. */
   onFrame(bytes: Uint8Array, sender: string): void {
+    let message: PeerMessage | undefined;
     try {
-      const message = decodePeerMessage(bytes);
-      if (!message) this.#refuse(sender, 'unknown kind');
-      else if (this.#isFromPeer(message)) this.#deliver(message);
-      else this.#refuse(sender, 'not from a controller of this deployment');
+      message = decodePeerMessage(bytes);
     } catch (error) {
       this.#refuse(sender, reasonOf(error));
+      return;
     }
+    if (!message) this.#refuse(sender, 'unknown kind');
+    else if (this.#isFromPeer(message)) this.#deliver(message);
+    else this.#refuse(sender, 'not from a controller of this deployment');
   }
 
   /** Broadcasts this controller's heartbeat, in as many messages as the progress of its jobs needs. */
--- a/test/hostile-senders.test.ts
+++ b/test/hostile-senders.test.ts
@@ -6,7 +6,7 @@
 import { readSubmission } from '../src/protocol/users';
 import { readHeartbeat } from '../src/protocol/workers';
 import { SimulatedCluster } from './fakes/simulated-cluster';
-import { DECODERS, type TestedDecoder } from './hostile/decoders';
+import { decoderOf } from './hostile/decoders';
 import { hostileFrame, hostileMessage } from './hostile/messages';
 
 const SECONDS = 60;
@@ -15,12 +15,6 @@
 const RESTART_AT = 25;
 const MESSAGES_A_SECOND = 2;
 
-function decoderOf(name: string): TestedDecoder {
-  const decoder = DECODERS[name];
-  assert.ok(decoder);
-  return decoder;
-}
-
 const frameDecoder = decoderOf('peer frame');
 /** Only malformed messages: a well-formed one would be a job or a report like any other. */
 const BODIES = {
--- a/test/hostile/decoders.ts
+++ b/test/hostile/decoders.ts
@@ -26,7 +26,8 @@
 }
 
 const task = { piece: 'req-1/3', try: 2, standing: 'ended', cause: 'done', stored: true };
-const heartbeat = {
+/** A valid heartbeat, as a worker sends it. */
+export const heartbeat = {
   hearth: 'host-1',
   endpoint: '10.1.0.2:9000',
   frame: 'm16',
@@ -128,7 +129,7 @@
   return new Map(entriesOfMap.map(([name, value]) => [name, Buffer.from(codec.encode(value))]));
 }
 
-function decoder(
+function createDecoder(
   messages: readonly unknown[],
   maxBytes: number,
   readBytes: (bytes: Buffer) => boolean | Promise<boolean>,
@@ -177,22 +178,24 @@
 
 /** The decoders by the sender and the kind of their messages. */
 export const DECODERS: Readonly<Record<string, TestedDecoder>> = {
-  submission: decoder(
+  submission: createDecoder(
     [submission('req-1', { frames: ['m16', 'm32'], awaits: ['req-2', 'req-3'] })],
     MAX_REQUEST_BYTES,
     (bytes) => readSubmission(bytes).kind === 'valid',
   ),
-  heartbeat: decoder([heartbeat], MAX_REQUEST_BYTES, (bytes) => readHeartbeat(bytes).ok),
-  'command response': decoder([heartbeat], MAX_REQUEST_BYTES, readCommandResponse),
-  'machine types': decoder([{ frames: Array.from({ length: 10 }, () => frame) }], MAX_PAGE_BYTES, (bytes) =>
-    isAccepted(cloudWith(bytes).listMachineTypes()),
+  heartbeat: createDecoder([heartbeat], MAX_REQUEST_BYTES, (bytes) => readHeartbeat(bytes).ok),
+  'command response': createDecoder([heartbeat], MAX_REQUEST_BYTES, readCommandResponse),
+  'machine types': createDecoder(
+    [{ frames: Array.from({ length: 10 }, () => frame) }],
+    MAX_PAGE_BYTES,
+    (bytes) => isAccepted(cloudWith(bytes).listMachineTypes()),
   ),
-  'machine list': decoder(
+  'machine list': createDecoder(
     [{ hearths: Array.from({ length: 20 }, () => listed), hasNext: false }],
     MAX_PAGE_BYTES,
     (bytes) => isAccepted(cloudWith(bytes).listMachines()),
   ),
-  rental: decoder([{ hearths: ['host-1', 'host-2'] }], MAX_PAGE_BYTES, (bytes) =>
+  rental: createDecoder([{ hearths: ['host-1', 'host-2'] }], MAX_PAGE_BYTES, (bytes) =>
     isAccepted(
       cloudWith(bytes).createMachines(
         { idempotencyKey: 'r', type: 't', zone: 'a', spot: true, count: 2 },
@@ -200,26 +203,35 @@
       ),
     ),
   ),
-  entry: decoder([entries[0]], MAX_PAGE_BYTES, async (bytes) => {
+  entry: createDecoder([entries[0]], MAX_PAGE_BYTES, async (bytes) => {
     let isRecord = false;
     const reading = storeWith(bytes)
       .get('live/job/req-1')
       .then((entry) => (isRecord = readRecords(entry?.value)));
     return (await isAccepted(reading)) && isRecord;
   }),
-  'entry page': decoder([{ entries, hasNext: false, ledger: 70 }], MAX_PAGE_BYTES, (bytes) =>
+  'entry page': createDecoder([{ entries, hasNext: false, ledger: 70 }], MAX_PAGE_BYTES, (bytes) =>
     isAccepted(
       storeWith(bytes)
         .list('live/')
         .then((page) => page.entries.forEach((entry) => readRecords(entry.value))),
     ),
   ),
-  changes: decoder([{ ledger: 70, news: events }], MAX_PAGE_BYTES, (bytes) =>
+  changes: createDecoder([{ ledger: 70, news: events }], MAX_PAGE_BYTES, (bytes) =>
     isAccepted(storeWith(bytes).changes('live/', 1, 0)),
   ),
-  'failed transaction': decoder([{ failed: ['live/leader'], ledger: 70 }], MAX_PAGE_BYTES, (bytes) =>
+  'failed transaction': createDecoder([{ failed: ['live/leader'], ledger: 70 }], MAX_PAGE_BYTES, (bytes) =>
     isAccepted(storeWith(bytes, 409).compareAndSwap([], [])),
   ),
-  lease: decoder([{ hold: 7 }], MAX_PAGE_BYTES, (bytes) => isAccepted(storeWith(bytes).grantLease(5000))),
+  lease: createDecoder([{ hold: 7 }], MAX_PAGE_BYTES, (bytes) =>
+    isAccepted(storeWith(bytes).grantLease(5000)),
+  ),
   'peer frame': { valid: frames, fields: [], maxBytes: MAX_FRAME_BYTES, isFrame: true, read: readFrame },
 };
+
+/** The decoder of a kind of message. */
+export function decoderOf(name: string): TestedDecoder {
+  const decoder = DECODERS[name];
+  if (!decoder) throw new Error(`no decoder ${name}`);
+  return decoder;
+}
--- a/test/hostile/real-controllers.ts
+++ b/test/hostile/real-controllers.ts
@@ -20,7 +20,7 @@
 } from '../load/controllers';
 import { LoadCloud } from '../load/load-cloud';
 import { LoopbackNetwork, realClock } from '../load/loopback';
-import { DECODERS, type TestedDecoder } from './decoders';
+import { decoderOf } from './decoders';
 import { deployFlags } from './deploy-flags';
 import { hostileFrame, hostileMessage } from './messages';
 
@@ -53,12 +53,6 @@
   },
 ];
 
-function decoderOf(name: string): TestedDecoder {
-  const decoder = DECODERS[name];
-  if (!decoder) throw new Error(`no decoder ${name}`);
-  return decoder;
-}
-
 /** What the run saw. */
 export interface HostileLoadResult {
   readonly sent: number;
--- a/test/hostile/run.ts
+++ b/test/hostile/run.ts
@@ -2,7 +2,7 @@
 import { writeSync } from 'node:fs';
 import { getHeapStatistics } from 'node:v8';
 import * as fc from 'fast-check';
-import { DECODERS } from './decoders';
+import { decoderOf } from './decoders';
 import { hostileFrame, hostileMessage } from './messages';
 
 /** The heap that is free when the messages come: as much as a controller with a full load of jobs has. */
@@ -47,8 +47,7 @@
   seed,
   messages,
 }: HostileRun): Promise<HostileRunResult> {
-  const decoder = DECODERS[name];
-  if (!decoder) throw new Error(`no decoder ${name}`);
+  const decoder = decoderOf(name);
   for (const bytes of decoder.valid) {
     if (!(await decoder.read(bytes))) throw new Error(`${name}: a valid message was refused`);
   }
--- a/test/malformed-bytes.test.ts
+++ b/test/malformed-bytes.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { RefusedMessages } from '../src/base/refused-messages';
 import { read } from '../src/bookkeeping/records';
+import { WatchCache } from '../src/bookkeeping/watch-cache';
 import { codec, externalCodec } from '../src/protocol/codec';
 import { MAX_DEPTH, MalformedMessageError } from '../src/protocol/decoded-size';
 import { decodePeerMessage, writePeerMessage, type PeerMessage } from '../src/protocol/peers';
@@ -11,6 +12,7 @@
 import { MAX_FRAME_BYTES } from '../src/transport/peer-link';
 import { SimulatedCluster } from './fakes/simulated-cluster';
 import { submission } from './fakes/submission';
+import { heartbeat } from './hostile/decoders';
 import { listOfSmallValues, nestedLists } from './hostile/messages';
 import { CONTROLLER_INDICES } from './user-steps';
 
@@ -90,17 +92,7 @@
   assert.equal(reasonFor(nested(MAX_DEPTH)), 'accepted');
 });
 
-const HEARTBEAT = {
-  hearth: 'host-1',
-  endpoint: '10.1.0.2:9000',
-  frame: 'm16',
-  yard: 'a',
-  loaners: true,
-  shift: 1,
-  tally: 7,
-  baton: 3,
-  pieces: [] as unknown[],
-};
+const HEARTBEAT = { ...heartbeat, pieces: [] };
 
 test('a machine name that does not fit a key and texts that are too long to store are refused', () => {
   const long = 'x'.repeat(201);
@@ -155,10 +147,10 @@
   const head = Buffer.from([0x12, 0xf8, 0xff, 0x0f]);
   assert.throws(() => decodePeerMessage(Buffer.concat([head, empty])), MalformedMessageError);
   const jobs = Array.from({ length: 10_000 }, (_, n) => ({ id: `req-${n}`, running: n, done: n }));
-  const heartbeat = { from: 'node-1', isViewFresh: true, jobs, unreachableShards: [], redirected: [] };
-  const bytes = writePeerMessage({ kind: 'heartbeat', heartbeat });
+  const peerHeartbeat = { from: 'node-1', isViewFresh: true, jobs, unreachableShards: [], redirected: [] };
+  const bytes = writePeerMessage({ kind: 'heartbeat', heartbeat: peerHeartbeat });
   assert.ok(bytes.length < MAX_FRAME_BYTES);
-  assert.deepEqual(decodePeerMessage(bytes), { kind: 'heartbeat', heartbeat });
+  assert.deepEqual(decodePeerMessage(bytes), { kind: 'heartbeat', heartbeat: peerHeartbeat });
 });
 
 test('a peer message with text that is not valid UTF-8, a cut length or a group is refused', () => {
@@ -234,6 +226,22 @@
   assert.equal(Number(count(counted)) + lines.filter((l) => l.message === 'message refused').length, 1_000);
 });
 
+test('an error in the handling of a peer message is not taken for a malformed message', async (t) => {
+  const cluster = new SimulatedCluster();
+  await cluster.untilOwned();
+  const [process] = cluster.controllers;
+  assert.ok(process);
+  const { controller } = process;
+  const refuse = t.mock.method(controller.refusedMessages, 'add');
+  t.mock.method(WatchCache.prototype, 'applyNotification', () => {
+    throw new Error('a fault of the handler');
+  });
+  const event = { key: 'live/job/req-1', version: 1, deleted: true };
+  const frame = writePeerMessage({ kind: 'change notification', event });
+  assert.throws(() => controller.onPeerFrame(frame, '10.0.0.9'), /a fault of the handler/);
+  assert.equal(refuse.mock.callCount(), 0);
+});
+
 test('messages that name an unknown controller as their sender are refused', async (t) => {
   const cluster = new SimulatedCluster();
   await cluster.untilOwned();
