--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -6,6 +6,8 @@
  */
 import * as z from 'zod';
 import type { Job } from '../protocol/model';
+import { listOf, mapOf, parseValue } from '../protocol/schemas';
+import { JOB_ID, MAX_TASKS } from '../protocol/users';
 
 /**
  * The prefix of all records of live jobs, shards, machines and controllers, which every controller watches. Final states
@@ -74,13 +76,26 @@
 
 const count = z.int().min(0);
 
+/** Checks the fields by which memory is allocated; the others are as a controller checked them in the submission. */
+function isJob(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  const { id, tasks, types, dependencies } = value as Partial<Record<keyof Job, unknown>>;
+  if (typeof id !== 'string' || !JOB_ID.test(id)) return false;
+  if (!Number.isSafeInteger(tasks) || (tasks as number) < 1 || (tasks as number) > MAX_TASKS) return false;
+  return isListOrAbsent(types) && isListOrAbsent(dependencies);
+}
+
+function isListOrAbsent(value: unknown): boolean {
+  return value === undefined || value === null || Array.isArray(value);
+}
+
 const controllerRecord = z.object({ lease: z.int() });
 const formatRecord = z.object({ format: z.int().min(1) });
 const leaderRecord = z.object({ node: z.string() });
 const fencingTokenRecord = z.object({ next: count });
 const shardRecord = z.object({
   owner: z.string(),
-  teams: z.array(z.string()),
+  teams: listOf(z.string()),
   /** The controller that acquired the shard last. */
   holder: z.string().optional(),
   /** The total number of shards. */
@@ -100,7 +115,7 @@
 });
 const relayRecord = z.object({
   /** Absent if all machines of the shard are covered; earlier versions write no list. */
-  machines: z.array(z.string()).optional(),
+  machines: listOf(z.string()).optional(),
 });
 const finalRecord = z.object({
   state: z.enum(['done', 'cancelled']),
@@ -108,10 +123,10 @@
   /** Wall-clock time of the job's end, in milliseconds; not part of record format 1. */
   endedAt: z.number().optional(),
 });
-const dependencyPartRecord = z.object({ dependencies: z.array(z.string()) });
+const dependencyPartRecord = z.object({ dependencies: listOf(z.string()) });
 const doneRecord = z.object({ bits: z.string() });
 const jobRecord = z.object({
-  job: z.custom<Job>((v) => typeof v === 'object' && v !== null && 'id' in v && 'tasks' in v),
+  job: z.custom<Job>(isJob),
   submittedAt: z.number(),
   /** The number of records that hold the list of dependencies; absent if `job` contains the list. */
   dependencyParts: z.int().min(1).optional(),
@@ -126,18 +141,18 @@
   price: z.number(),
   spotPrice: z.number(),
   bootS: z.number(),
-  zones: z.array(z.string()),
+  zones: listOf(z.string()),
 });
-const typesRecord = z.object({ types: z.array(machineType) });
+const typesRecord = z.object({ types: listOf(machineType) });
 const typesPartRecord = z.object({
   /** Parts that were written together have the same edition. */
   edition: z.int().min(1),
   /** The total number of parts. */
   of: z.int().min(1),
-  types: z.array(machineType),
+  types: listOf(machineType),
 });
 
-const weights = z.record(z.string(), z.number().positive());
+const weights = mapOf(z.number().positive());
 const admissionRecord = z.object({
   epoch: z.int().min(1),
   /** The number of overloads so far, which identifies the overload. */
@@ -149,13 +164,13 @@
   /** The grant, in CPU seconds, of a flow that has no grant of its own in the epoch. */
   newFlowGrant: z.number(),
   /** Classes whose grants are part of the epoch; each class has its own record. */
-  classes: z.array(z.string()),
+  classes: listOf(z.string()),
 });
 const admissionClassRecord = z.object({
   class: z.string(),
   /** The epoch that the grants belong to. */
   epoch: z.int().min(1),
-  teams: z.array(z.object({ team: z.string(), granted: z.number(), rate: z.number().min(0) })),
+  teams: listOf(z.object({ team: z.string(), granted: z.number(), rate: z.number().min(0) })),
 });
 const admissionFlowRecord = z.object({
   class: z.string(),
@@ -190,8 +205,8 @@
 
 function reader<T>(schema: z.ZodType<T>): (value: unknown) => T | undefined {
   return (value) => {
-    const parsed = schema.safeParse(value);
-    return parsed.success ? parsed.data : undefined;
+    const parsed = parseValue(schema, value);
+    return parsed.ok ? parsed.value : undefined;
   };
 }
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -7,13 +7,16 @@
 import { createLog, levelFromEnv, type Log } from '../base/log';
 import { describeError, runLoop } from '../base/loop';
 import { systemRandom } from '../base/random';
+import { RefusedMessages } from '../base/refused-messages';
 import type { Settings } from '../base/settings';
 import { maxIdleConnections } from '../base/sockets';
 import { Controller } from '../coordination/controller';
 import type { Environment } from '../coordination/environment';
 import { createRoutes } from '../coordination/routes';
 import { codec } from '../protocol/codec';
+import { reasonOf } from '../protocol/schemas';
 import { Connections } from '../transport/connections';
+import type { PoolLimits } from '../transport/bounded-agent';
 import { HttpClient } from '../transport/http-client';
 import { createServer } from '../transport/http-server';
 import { readSuspicionOptions } from '../suspicion/options';
@@ -22,7 +25,8 @@
 import { reportUsage } from './usage';
 
 const MAX_REQUEST_BYTES = 64 * 1024;
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Twice a page of the key-value store. Changes that exceed it are read again as pages. */
+const MAX_RESPONSE_BYTES = 1024 * 1024;
 /** Longest time to wait for initialization before listening. Until it is initialized, a controller responds with 503. */
 const MAX_LISTEN_DELAY_MS = 3_000;
 const INITIALIZATION_POLL_MS = 10;
@@ -32,6 +36,7 @@
 interface Service {
   readonly settings: Settings;
   readonly log: Log;
+  readonly refusedMessages: RefusedMessages;
   /** Never aborted: a controller serves until its process is killed. */
   readonly signal: AbortSignal;
   /** The inbound connections, with their limits. */
@@ -95,17 +100,26 @@
   };
   const connections = new Connections(limits, () => systemClock.now());
   const idle = (): number => maxIdleConnections(sockets, connections.size);
+  const refusedMessages = new RefusedMessages(log);
   return {
     settings,
     log,
+    refusedMessages,
     signal,
     connections,
-    workers: new HttpClient(codec, { perHost: 1, idle }, MAX_RESPONSE_BYTES),
+    workers: createHttpClient({ perHost: 1, idle }, refusedMessages),
     peers: platform.others.map((peer) => new PeerSender(peer.peer_addr, { clock: systemClock, log, signal })),
   };
 }
 
-function createEnvironment({ settings, log, workers, peers }: Service): Environment {
+function createHttpClient(connections: PoolLimits, refusedMessages: RefusedMessages): HttpClient {
+  return new HttpClient(codec, connections, MAX_RESPONSE_BYTES, (target, path, error) => {
+    const message = `response to ${path.split('?')[0] ?? ''}`;
+    refusedMessages.add({ message, sender: target, problem: reasonOf(error) });
+  });
+}
+
+function createEnvironment({ settings, log, refusedMessages, workers, peers }: Service): Environment {
   const { external } = settings.sockets;
   return {
     clock: systemClock,
@@ -113,9 +127,10 @@
     startedAt: 0,
     random: systemRandom,
     log,
+    refusedMessages,
     // This pool is separate from the pool for workers, so that idle connections to workers can't evict those to the
     // key-value store: without free sockets, a new connection fails, and so does the lease renewal that needs it.
-    http: new HttpClient(codec, { perHost: external, idle: () => 2 * external }, MAX_RESPONSE_BYTES),
+    http: createHttpClient({ perHost: external, idle: () => 2 * external }, refusedMessages),
     workers,
     broadcast: (bytes) => {
       for (const peer of peers) peer.send(bytes);
@@ -123,7 +138,8 @@
   };
 }
 
-function createHttpServer({ log, connections, workers }: Service, controller: Controller): FastifyInstance {
+function createHttpServer(service: Service, controller: Controller): FastifyInstance {
+  const { log, connections, workers, refusedMessages } = service;
   const server = createServer(createRoutes(controller, log), {
     maxBodyBytes: MAX_REQUEST_BYTES,
     connections,
@@ -131,6 +147,9 @@
     onError: (error) => {
       log.error({ err: describeError(error) }, 'unhandled error in request handler');
     },
+    onRefused: (sender, problem) => {
+      refusedMessages.add({ message: 'request', sender, problem });
+    },
   });
   // Each inbound connection may lower the limit on idle outbound connections; those beyond the limit are closed.
   server.server.on('connection', () => {
@@ -140,8 +159,8 @@
 }
 
 function startPeerLinks({ settings, log, peers }: Service, controller: Controller): void {
-  const onFrame = (bytes: Uint8Array): void => {
-    controller.onPeerFrame(bytes);
+  const onFrame = (bytes: Uint8Array, sender: string): void => {
+    controller.onPeerFrame(bytes, sender);
   };
   listenForPeers(settings.platform.back, onFrame, log);
   for (const peer of peers) void peer.run();
--- a/src/cli/usage.ts
+++ b/src/cli/usage.ts
@@ -1,4 +1,5 @@
 /** @file Logs the resource usage of the process, for operators to compare with its quota. */
+import { getHeapStatistics } from 'node:v8';
 import { systemClock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { Controller } from '../coordination/controller';
@@ -8,7 +9,7 @@
 const MICROSECONDS_PER_MS = 1_000;
 const BYTES_PER_MB = 1024 * 1024;
 
-/** Measures the usage over one interval and logs it; run in a loop. */
+/** Measures the usage over one interval, and logs it with the counts of refused messages; run in a loop. */
 export async function reportUsage(log: Log, connections: Connections, controller: Controller): Promise<void> {
   const cpuBefore = process.cpuUsage();
   const startedAt = systemClock.now();
@@ -20,9 +21,11 @@
     cpu: Number((cpuMs / (systemClock.now() - startedAt)).toFixed(3)),
     memoryMb: Math.round(rss / BYTES_PER_MB),
     heapMb: Math.round(heapUsed / BYTES_PER_MB),
+    heapLimitMb: Math.round(getHeapStatistics().heap_size_limit / BYTES_PER_MB),
     connections: connections.size,
     workers: connections.workers,
     lateMs: Math.round(controller.eventLoopDelay.delayMs),
   };
   log.info(usage, 'usage');
+  controller.refusedMessages.report();
 }
--- a/src/coordination/controller-context.ts
+++ b/src/coordination/controller-context.ts
@@ -3,6 +3,7 @@
 import type { EventLoopDelay } from '../base/event-loop-delay';
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
+import type { RefusedMessages } from '../base/refused-messages';
 import type { Settings } from '../base/settings';
 import type { FormatGate } from '../bookkeeping/format-gate';
 import type { DependencyTracker } from '../bookkeeping/dependency-tracker';
@@ -24,6 +25,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  readonly refusedMessages: RefusedMessages;
   /** Decides which work to shed while the event loop is delayed. */
   readonly eventLoopDelay: EventLoopDelay;
   readonly store: KeyValueStore;
--- a/src/coordination/controller-services.ts
+++ b/src/coordination/controller-services.ts
@@ -197,7 +197,7 @@
   environment: Environment,
   store: KeyValueStore = createKeyValueStore(settings, environment),
 ): ControllerServices {
-  const { clock, log, workers, random } = environment;
+  const { clock, log, refusedMessages, workers, random } = environment;
   const records = createRecordServices(settings, environment, store);
   const { cache, formatGate, publish } = records;
   const finals = new FinalStates(store, formatGate);
@@ -214,6 +214,7 @@
     clock,
     random,
     log,
+    refusedMessages,
     eventLoopDelay: new EventLoopDelay(clock),
     jobs,
     endedJobs,
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,6 +1,7 @@
 /** @file One controller: starts and stops its components, and passes requests and peer messages to them. */
 import type { EventLoopDelay } from '../base/event-loop-delay';
 import { describeError } from '../base/loop';
+import type { RefusedMessages } from '../base/refused-messages';
 import type { Settings } from '../base/settings';
 import type { JobStore } from '../bookkeeping/job-store';
 import type { KeyValueStore } from '../protocol/key-value-store';
@@ -77,6 +78,11 @@
     return this.#components.context.eventLoopDelay;
   }
 
+  /** Counts the messages that this process refuses. */
+  get refusedMessages(): RefusedMessages {
+    return this.#components.context.refusedMessages;
+  }
+
   /** Adds the latest reported progress to the status of a live job, for display. */
   withProgress(status: JobStatus): JobStatus {
     return this.#components.progress.withProgress(status);
@@ -100,9 +106,9 @@
     return this.#components.heartbeatRouter.respond(heartbeat);
   }
 
-  /** Handles the content of a frame from a peer. */
-  onPeerFrame(bytes: Uint8Array): void {
-    this.#components.peerMessaging.onFrame(bytes);
+  /** Handles the content of a frame that came from the address `sender`. */
+  onPeerFrame(bytes: Uint8Array, sender: string): void {
+    this.#components.peerMessaging.onFrame(bytes, sender);
   }
 
   /** The status that this controller and its peers report of each other; undefined if suspicion is off. */
--- a/src/coordination/environment.ts
+++ b/src/coordination/environment.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { Random } from '../base/random';
+import type { RefusedMessages } from '../base/refused-messages';
 import type { HttpCaller } from '../transport/http-client';
 
 /** Clock, randomness, log and connections that are injected into a controller. */
@@ -11,6 +12,8 @@
   startedAt: number;
   random: Random;
   log: Log;
+  /** Counts the messages that this process refuses. */
+  refusedMessages: RefusedMessages;
   /** For calls to the key-value store and the cloud. */
   http: HttpCaller;
   /** For calls to workers. */
--- a/src/coordination/peer-messaging.ts
+++ b/src/coordination/peer-messaging.ts
@@ -1,5 +1,6 @@
 /** @file The messages that a controller receives from its peers, and the heartbeats that it sends them. */
-import { readPeerMessage, writePeerMessage, type PeerHeartbeat, type PeerMessage } from '../protocol/peers';
+import { decodePeerMessage, writePeerMessage, type PeerHeartbeat, type PeerMessage } from '../protocol/peers';
+import { reasonOf } from '../protocol/schemas';
 import { areMostUnreachable, type PeerReachability } from '../suspicion/peer-reachability';
 import type { ControllerContext } from './controller-context';
 import type { JobProgressTable } from './job-progress';
@@ -10,7 +11,10 @@
 
 /** The components that provide the content of heartbeats, and that receive the messages from peers. */
 export interface PeerMessagingContext {
-  readonly context: Pick<ControllerContext, 'cache' | 'controllerId' | 'log' | 'suspicion'>;
+  readonly context: Pick<
+    ControllerContext,
+    'cache' | 'controllerId' | 'refusedMessages' | 'settings' | 'suspicion'
+  >;
   readonly acquisition: { readonly owners: ReadonlyMap<number, ShardOwner> };
   readonly leaseExtension: LeaseExtension;
   readonly reachability: PeerReachability;
@@ -20,16 +24,25 @@
 
 /** Delivers messages from peers to the components, and sends heartbeats to the peers. */
 export class PeerMessaging {
+  readonly #peers: ReadonlySet<string>;
+
   constructor(
     private readonly components: PeerMessagingContext,
     private readonly broadcast: (bytes: Uint8Array) => void,
-  ) {}
+  ) {
+    this.#peers = new Set(components.context.settings.platform.others.map(({ node }) => node));
+  }
 
-  /** Delivers the message in a frame from a peer. */
-  onFrame(bytes: Uint8Array): void {
-    const message = readPeerMessage(bytes);
-    if (message) this.#deliver(message);
-    else this.components.context.log.info('unreadable peer message');
+  /** Delivers the message in a frame that came from the address `sender`. */
+  onFrame(bytes: Uint8Array, sender: string): void {
+    try {
+      const message = decodePeerMessage(bytes);
+      if (!message) this.#refuse(sender, 'unknown kind');
+      else if (this.#isFromPeer(message)) this.#deliver(message);
+      else this.#refuse(sender, 'not from a controller of this deployment');
+    } catch (error) {
+      this.#refuse(sender, reasonOf(error));
+    }
   }
 
   /** Broadcasts this controller's heartbeat, in as many messages as the progress of its jobs needs. */
@@ -43,6 +56,25 @@
     }
   }
 
+  #refuse(sender: string, problem: string): void {
+    this.components.context.refusedMessages.add({ message: 'peer frame', sender, problem });
+  }
+
+  /** Whether the sender that a message names is a peer; state is kept for each sender. */
+  #isFromPeer(message: PeerMessage): boolean {
+    switch (message.kind) {
+      case 'change notification':
+        return true;
+      case 'lease extension request':
+        return this.#peers.has(message.request.from);
+      case 'lease extension grant':
+        return this.#peers.has(message.grant.from);
+      case 'heartbeat':
+        // Suspicion counts the heartbeats that it rejects by reasons of its own.
+        return this.components.context.suspicion !== undefined || this.#peers.has(message.heartbeat.from);
+    }
+  }
+
   #deliver(message: PeerMessage): void {
     const { context, leaseExtension, reachability, progress } = this.components;
     switch (message.kind) {
--- a/src/coordination/routes.ts
+++ b/src/coordination/routes.ts
@@ -1,6 +1,7 @@
 /** @file The HTTP interface for users, workers, operators and the load balancer's health probe. */
 import { traceSubmission } from '../admission/tracing';
 import type { Log } from '../base/log';
+import type { RefusedMessage } from '../base/refused-messages';
 import { JOB_ID, readSubmission, writeJobState } from '../protocol/users';
 import { readHeartbeat } from '../protocol/workers';
 import type { HttpReply, HttpRequest, Route } from '../transport/http-server';
@@ -25,11 +26,11 @@
     return report ? { status: 200, body: report } : refuse(404, 'suspicion is off');
   }
 
-  async submit({ body }: HttpRequest): Promise<HttpReply> {
+  async submit({ body, sender }: HttpRequest): Promise<HttpReply> {
     const submission = readSubmission(body);
     switch (submission.kind) {
       case 'invalid':
-        return refuse(400, submission.error);
+        return this.#refuseMalformed({ message: 'submission', sender, problem: submission.error });
       case 'invalid dependencies':
         return this.#existingStatusOr(submission.id, refuse(400, submission.error));
       case 'valid':
@@ -62,13 +63,20 @@
     return { status: 200, body: writeJobState(id, status.state) };
   }
 
-  heartbeat({ body }: HttpRequest): HttpReply | Promise<HttpReply> {
+  heartbeat({ body, sender }: HttpRequest): HttpReply | Promise<HttpReply> {
     const heartbeat = readHeartbeat(body);
-    if (!heartbeat) return refuse(400, 'not a report');
-    const response = this.controller.onHeartbeat(heartbeat);
+    if (!heartbeat.ok) {
+      return this.#refuseMalformed({ message: 'heartbeat', sender, problem: heartbeat.problem });
+    }
+    const response = this.controller.onHeartbeat(heartbeat.value);
     return response instanceof Promise ? response.then(replyToWorker) : replyToWorker(response);
   }
 
+  #refuseMalformed(refused: RefusedMessage): HttpReply {
+    this.controller.refusedMessages.add(refused);
+    return refuse(400, refused.problem);
+  }
+
   /** The reply to an invalid or infeasible submission: the status if the job was accepted before, else the refusal. */
   async #existingStatusOr(id: string, refusal: HttpReply): Promise<HttpReply> {
     const status = await this.controller.jobs.find(id);
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -3,11 +3,10 @@
 import { NoResponseError, type HttpCaller, type HttpResponse } from '../transport/http-client';
 import type { RateLimit } from '../transport/rate-limit';
 import type { ListedMachine, MachineType } from './model';
-
-const machineName = z.string().min(1).max(150);
+import { listOf, machineName, parseValue, possiblyEmptyText, text } from './schemas';
 
 const machineTypeSchema = z.object({
-  label: z.string().min(1),
+  label: text,
   cpus: z.number().positive(),
   cards: z.number().min(0).nullish(),
   memGb: z.number().min(0),
@@ -16,22 +15,22 @@
   rate: z.number().min(0),
   spotPrice: z.number().min(0),
   bootS: z.number().min(0),
-  yards: z.array(z.string()),
+  yards: listOf(possiblyEmptyText),
 });
 
 const listedMachineSchema = z.object({
   nameId: machineName,
-  endpoint: z.string(),
-  frame: z.string(),
-  yard: z.string(),
+  endpoint: possiblyEmptyText,
+  frame: possiblyEmptyText,
+  yard: possiblyEmptyText,
   loaners: z.boolean(),
   standing: z.enum(['starting', 'running', 'failed']),
   ageS: z.number(),
 });
 
-const machineTypesSchema = z.object({ frames: z.array(machineTypeSchema) });
-const createdSchema = z.object({ hearths: z.array(machineName) });
-const machineListSchema = z.object({ hearths: z.array(listedMachineSchema), hasNext: z.boolean() });
+const machineTypesSchema = z.object({ frames: listOf(machineTypeSchema) });
+const createdSchema = z.object({ hearths: listOf(machineName) });
+const machineListSchema = z.object({ hearths: listOf(listedMachineSchema), hasNext: z.boolean() });
 
 /** Maximum number of machines in one page of the list. */
 export const MACHINES_PER_PAGE = 500;
@@ -185,9 +184,9 @@
 
 function readResponse<T>(path: string, { status, body }: HttpResponse, schema: z.ZodType<T>): T {
   if (status === 200) {
-    const parsed = schema.safeParse(body);
-    if (parsed.success) return parsed.data;
-    throw new NoResponseError(`cloud ${path}: malformed response`, true, { cause: parsed.error });
+    const parsed = parseValue(schema, body);
+    if (parsed.ok) return parsed.value;
+    throw new NoResponseError(`cloud ${path}: malformed response: ${parsed.problem}`, true);
   }
   if (status === STATUS_UNAVAILABLE || status === STATUS_TOO_MANY_REQUESTS) {
     const error = (body as { error?: unknown } | null)?.error;
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -1,23 +1,16 @@
-/** @file MessagePack, the encoding of every HTTP body. */
+/** @file MessagePack, the encoding of every HTTP body and of the records in peer messages. */
 import { Decoder, Encoder } from '@msgpack/msgpack';
 import type { Codec } from '../transport/http-client';
+import { checkMessagePack } from './message-pack-check';
 
 const encoder = new Encoder({ ignoreUndefined: true });
 const decoder = new Decoder({ maxBinLength: 0, maxExtLength: 0 });
 
-/** MessagePack as the protocols use it: no binary values, no extensions. */
+/** MessagePack as the protocols use it. Every received message passes the check in `decode`; it throws if it is malformed. */
 export const codec: Codec = {
   encode: (value) => encoder.encode(value),
-  decode: (bytes) => decoder.decode(bytes),
+  decode: (bytes) => {
+    checkMessagePack(bytes);
+    return decoder.decode(bytes);
+  },
 };
-
-/** Decodes a body that must be a map; undefined when it is malformed or not a map. */
-export function decodeMap(bytes: Uint8Array): Record<string, unknown> | undefined {
-  try {
-    const value: unknown = decoder.decode(bytes);
-    const isMap = typeof value === 'object' && value !== null && !Array.isArray(value);
-    return isMap ? (value as Record<string, unknown>) : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/protocol/http-key-value-store.ts
+++ b/src/protocol/http-key-value-store.ts
@@ -20,19 +20,20 @@
   type KeyValueStore,
   type RequestPriority,
 } from './key-value-store';
+import { listOf, parseValue } from './schemas';
 
 const revision = z.int().min(0);
 const entrySchema = z.object({ path: z.string(), data: z.unknown(), stamp: revision });
 const notFoundSchema = z.object({ ledger: revision });
-const listSchema = z.object({ entries: z.array(entrySchema), hasNext: z.boolean(), ledger: revision });
+const listSchema = z.object({ entries: listOf(entrySchema), hasNext: z.boolean(), ledger: revision });
 const swappedSchema = z.object({ ledger: revision });
-const notSwappedSchema = z.object({ failed: z.array(z.string()), ledger: revision });
+const notSwappedSchema = z.object({ failed: listOf(z.string()), ledger: revision });
 const leaseSchema = z.object({ hold: z.int() });
 const changeSchema = z.union([
   z.object({ set: z.string(), data: z.unknown(), stamp: revision }),
   z.object({ delete: z.string(), stamp: revision }),
 ]);
-const changesSchema = z.object({ ledger: revision, news: z.array(changeSchema) });
+const changesSchema = z.object({ ledger: revision, news: listOf(changeSchema) });
 
 const STATUS_OK = 200;
 const STATUS_BAD_REQUEST = 400;
@@ -206,7 +207,7 @@
 
 /** Checks the body of a response whose status was checked before. */
 function parseBody<T>(body: unknown, schema: z.ZodType<T>): T {
-  const parsed = schema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  throw new NoResponseError('key-value store: malformed response', true, { cause: parsed.error });
+  const parsed = parseValue(schema, body);
+  if (parsed.ok) return parsed.value;
+  throw new NoResponseError(`key-value store: malformed response: ${parsed.problem}`, true);
 }
--- a/src/protocol/peer-view.ts
+++ b/src/protocol/peer-view.ts
@@ -1,5 +1,6 @@
 /** @file A controller's view of its peers' liveness: a field of the heartbeat between controllers. */
 import * as z from 'zod';
+import { listOf, parseValue } from './schemas';
 
 /** The statuses of a peer; the index is the number on the wire. Numbers are never reused. */
 export const PEER_STATUSES = ['unknown', 'alive', 'suspected', 'refuted', 'failed', 'returned'] as const;
@@ -62,7 +63,7 @@
   run: count,
   incarnation: count,
   isStalled: z.boolean(),
-  opinions: z.array(opinionSchema),
+  opinions: listOf(opinionSchema),
 });
 
 function writeOpinion(opinion: PeerOpinion): z.infer<typeof opinionSchema> {
@@ -102,8 +103,8 @@
 
 /** Reads a view from its protobuf form; undefined when it is malformed. */
 export function readPeerView(raw: unknown): PeerView | undefined {
-  const parsed = viewSchema.safeParse(raw);
-  if (!parsed.success) return undefined;
-  const { run, incarnation, isStalled, opinions } = parsed.data;
+  const parsed = parseValue(viewSchema, raw);
+  if (!parsed.ok) return undefined;
+  const { run, incarnation, isStalled, opinions } = parsed.value;
   return { run, incarnation, isStalled, opinions: opinions.map(toOpinion) };
 }
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -7,6 +7,7 @@
 import definition from './peer.proto';
 import { codec } from './codec';
 import type { ChangeEvent } from './key-value-store';
+import { checkProtobuf } from './protobuf-check';
 
 /** The progress of a live job, for display: the numbers of its running and done tasks. */
 export interface JobProgress {
@@ -127,11 +128,17 @@
   return heartbeat ? { kind: 'heartbeat', heartbeat: readHeartbeat(heartbeat) } : undefined;
 }
 
+/** Decodes a peer's message; undefined when it is of a kind that this version doesn't know. Throws if it is malformed. */
+export function decodePeerMessage(bytes: Uint8Array): PeerMessage | undefined {
+  checkProtobuf(bytes, messageType);
+  const encoded = messageType.toObject(messageType.decode(bytes), { longs: Number, defaults: true });
+  return toMessage(encoded as EncodedMessage);
+}
+
 /** Reads a peer's message; undefined when it is malformed, or of a kind that this version doesn't know. */
 export function readPeerMessage(bytes: Uint8Array): PeerMessage | undefined {
   try {
-    const encoded = messageType.toObject(messageType.decode(bytes), { longs: Number, defaults: true });
-    return toMessage(encoded as EncodedMessage);
+    return decodePeerMessage(bytes);
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/src/protocol/schemas.ts
@@ -0,0 +1,108 @@
+/**
+ * @file Schemas for values from outside. A schema of the library collects every problem of a value, each as an object, and
+ * writes all of them into the text of an error; these stop at the first one, however many items a list or map has.
+ */
+import * as z from 'zod';
+import { codec } from './codec';
+import { MalformedMessageError } from './decoded-size';
+
+const INVALID = 'invalid';
+
+/** Longest name of a machine, in bytes: names are part of keys, which have up to 200 bytes and no spaces. */
+const MAX_MACHINE_NAME_BYTES = 150;
+
+/** The name of a machine. */
+export const machineName = z
+  .string()
+  .regex(/^\S+$/)
+  .refine((name) => Buffer.byteLength(name) <= MAX_MACHINE_NAME_BYTES, 'too long');
+
+const MAX_TEXT_LENGTH = 200;
+/** A name or description that is stored with a record; may be empty. */
+export const possiblyEmptyText = z.string().max(MAX_TEXT_LENGTH);
+/** A name or description that is stored with a record. */
+export const text = possiblyEmptyText.min(1);
+
+/** The result of reading a value with a schema. */
+export type Parsed<T> =
+  | { readonly ok: true; readonly value: T }
+  /** The first problem, with the field that has it. */
+  | { readonly ok: false; readonly problem: string };
+
+/** A list of items, up to `maximum` of them; stops at the first item that is invalid. */
+export function listOf<T>(item: z.ZodType<T>, maximum = Infinity): z.ZodType<T[]> {
+  return z.unknown().transform((value, context) => {
+    if (!Array.isArray(value)) return refuse(context, 'expected a list');
+    if (value.length > maximum) return refuse(context, `more than ${maximum} items`);
+    const items: T[] = [];
+    for (const [index, raw] of value.entries()) {
+      const parsed = item.safeParse(raw);
+      if (!parsed.success) return refuseItem(context, index, parsed.error);
+      items.push(parsed.data);
+    }
+    return items;
+  });
+}
+
+/** A map from texts to values; stops at the first value that is invalid. */
+export function mapOf<T>(schema: z.ZodType<T>): z.ZodType<Record<string, T>> {
+  return z.unknown().transform((value, context) => {
+    if (!isMap(value)) return refuse(context, 'expected a map');
+    const entries: [string, T][] = [];
+    for (const [key, raw] of Object.entries(value)) {
+      const parsed = schema.safeParse(raw);
+      if (!parsed.success) return refuseItem(context, key, parsed.error);
+      entries.push([key, parsed.data]);
+    }
+    return Object.fromEntries(entries);
+  });
+}
+
+/** Reads a decoded value with a schema. */
+export function parseValue<T>(schema: z.ZodType<T>, value: unknown): Parsed<T> {
+  const parsed = schema.safeParse(value);
+  return parsed.success ? { ok: true, value: parsed.data } : { ok: false, problem: problemOf(parsed.error) };
+}
+
+/** Decodes a message that must be a map. */
+export function decodeMap(bytes: Uint8Array): Parsed<Record<string, unknown>> {
+  try {
+    const value = codec.decode(bytes);
+    return isMap(value) ? { ok: true, value } : { ok: false, problem: 'the body is not a map' };
+  } catch (error) {
+    return { ok: false, problem: `not MessagePack: ${reasonOf(error)}` };
+  }
+}
+
+/** Decodes a message that must be a map, and reads it with a schema. */
+export function parseMessage<T>(schema: z.ZodType<T>, bytes: Uint8Array): Parsed<T> {
+  const decoded = decodeMap(bytes);
+  return decoded.ok ? parseValue(schema, decoded.value) : decoded;
+}
+
+/** Why a message could not be decoded, as one of a few texts. */
+export function reasonOf(error: unknown): string {
+  return error instanceof MalformedMessageError ? error.reason : 'undecodable';
+}
+
+function isMap(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function refuse(context: z.RefinementCtx, message: string): never {
+  context.issues.push({ code: 'custom', message, input: undefined });
+  return z.NEVER;
+}
+
+function refuseItem(context: z.RefinementCtx, key: PropertyKey, error: z.ZodError): never {
+  const [issue] = error.issues;
+  const path = [key, ...(issue?.path ?? [])];
+  context.issues.push({ code: 'custom', message: issue?.message ?? INVALID, input: undefined, path });
+  return z.NEVER;
+}
+
+function problemOf(error: z.ZodError): string {
+  const [issue] = error.issues;
+  const message = issue?.message ?? INVALID;
+  return issue?.path.length ? `${issue.path.join('.')}: ${message}` : message;
+}
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -1,9 +1,12 @@
 /** @file The protocol between users and controllers: submissions and the status of jobs. */
 import * as z from 'zod';
-import { decodeMap } from './codec';
+import { decodeMap, listOf, parseValue, text } from './schemas';
 import type { Job, JobState, JobStatus } from './model';
 
-const MAX_TASKS = 100_000;
+/** The maximum number of tasks in a job. */
+export const MAX_TASKS = 100_000;
+/** The maximum number of machine types that a job may name. */
+const MAX_TYPES = 1_000;
 /** A status lists at most this many unfinished dependencies. */
 const MAX_LISTED_DEPENDENCIES = 100;
 
@@ -11,7 +14,6 @@
 export const JOB_ID = /^req-[0-9]{1,32}$/;
 
 const amount = z.number().min(0).max(1e9);
-const text = z.string().min(1).max(200);
 const jobId = z.string().regex(JOB_ID);
 
 const submissionSchema = z.object({
@@ -26,7 +28,7 @@
   memGb: amount,
   build: text,
   sizeGb: amount,
-  frames: z.array(text).max(1000).nullish(),
+  frames: listOf(text, MAX_TYPES).nullish(),
   yard: text.nullish(),
   together: z.boolean(),
   apart: z.boolean(),
@@ -37,7 +39,7 @@
   dueS: amount.nullish(),
 });
 
-const dependenciesSchema = z.array(jobId).nullish();
+const dependenciesSchema = z.object({ awaits: listOf(jobId).nullish() });
 
 /** Priorities by their names on the wire. */
 const PRIORITIES = { prod: 'production', urgent: 'high', normal: 'normal', best_effort: 'low' } as const;
@@ -57,24 +59,16 @@
   | { readonly kind: 'invalid dependencies'; readonly id: string; readonly error: string }
   | { readonly kind: 'invalid'; readonly error: string };
 
-function firstIssue(error: z.ZodError, field?: string): string {
-  const issue = error.issues[0];
-  const path = [...(field === undefined ? [] : [field]), ...(issue?.path ?? [])];
-  return `${path.join('.')}: ${issue?.message ?? 'invalid'}`;
-}
-
 /** Reads a submission; an invalid one comes with the first error. */
 export function readSubmission(body: Uint8Array): Submission {
-  const map = decodeMap(body);
-  if (!map) return { kind: 'invalid', error: 'the body is not a MessagePack map' };
-  const parsed = submissionSchema.safeParse(map);
-  if (!parsed.success) return { kind: 'invalid', error: firstIssue(parsed.error) };
-  const job = toJob(parsed.data);
-  const dependencies = dependenciesSchema.safeParse(map.awaits);
-  if (!dependencies.success) {
-    return { kind: 'invalid dependencies', id: job.id, error: firstIssue(dependencies.error, 'awaits') };
-  }
-  const distinct = [...new Set(dependencies.data ?? [])];
+  const decoded = decodeMap(body);
+  if (!decoded.ok) return { kind: 'invalid', error: decoded.problem };
+  const parsed = parseValue(submissionSchema, decoded.value);
+  if (!parsed.ok) return { kind: 'invalid', error: parsed.problem };
+  const job = toJob(parsed.value);
+  const dependencies = parseValue(dependenciesSchema, decoded.value);
+  if (!dependencies.ok) return { kind: 'invalid dependencies', id: job.id, error: dependencies.problem };
+  const distinct = [...new Set(dependencies.value.awaits ?? [])];
   return { kind: 'valid', job: distinct.length === 0 ? job : { ...job, dependencies: distinct } };
 }
 
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -1,7 +1,7 @@
 /** @file The protocol between workers and controllers: heartbeats, their responses, and commands. */
 import * as z from 'zod';
-import { decodeMap } from './codec';
 import type { AttemptPhase, ExitCause, ReportedAttempt, WorkerCommand, WorkerHeartbeat } from './model';
+import { listOf, machineName, parseMessage, parseValue, text, type Parsed } from './schemas';
 
 const count = z.int().min(0);
 
@@ -35,16 +35,16 @@
 });
 
 const heartbeatSchema = z.object({
-  hearth: z.string().min(1).max(150),
+  hearth: machineName,
   endpoint: z.string().regex(/^[0-9.]+:[0-9]{1,5}$/),
-  frame: z.string().min(1),
-  yard: z.string().min(1),
+  frame: text,
+  yard: text,
   loaners: z.boolean(),
   shift: count,
   tally: count,
   baton: count,
   warningS: z.number().min(0).nullish(),
-  pieces: z.array(attemptSchema),
+  pieces: listOf(attemptSchema),
 });
 
 function toAttempt(wire: z.infer<typeof attemptSchema>): ReportedAttempt {
@@ -61,11 +61,7 @@
   };
 }
 
-/** Reads a decoded heartbeat; undefined when any part is malformed, so that no part of it is applied. */
-export function parseHeartbeat(value: unknown): WorkerHeartbeat | undefined {
-  const parsed = heartbeatSchema.safeParse(value);
-  if (!parsed.success) return undefined;
-  const wire = parsed.data;
+function toHeartbeat(wire: z.infer<typeof heartbeatSchema>): WorkerHeartbeat {
   return {
     machine: wire.hearth,
     address: wire.endpoint,
@@ -80,10 +76,16 @@
   };
 }
 
-/** Reads the body of a heartbeat; undefined when it is malformed. */
-export function readHeartbeat(body: Uint8Array): WorkerHeartbeat | undefined {
-  const map = decodeMap(body);
-  return map && parseHeartbeat(map);
+/** Reads a decoded heartbeat; undefined when any part is malformed, so that no part of it is applied. */
+export function parseHeartbeat(value: unknown): WorkerHeartbeat | undefined {
+  const parsed = parseValue(heartbeatSchema, value);
+  return parsed.ok ? toHeartbeat(parsed.value) : undefined;
+}
+
+/** Reads the body of a heartbeat; a malformed one comes with its first problem, and no part of it is applied. */
+export function readHeartbeat(body: Uint8Array): Parsed<WorkerHeartbeat> {
+  const parsed = parseMessage(heartbeatSchema, body);
+  return parsed.ok ? { ok: true, value: toHeartbeat(parsed.value) } : parsed;
 }
 
 function writeCommand(command: WorkerCommand): Record<string, unknown> {
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -67,10 +67,14 @@
   readonly maySend: () => boolean;
 }
 
+/** Called with a response that could not be decoded: its request's target and path, and the error of the decoder. */
+export type UndecodableResponseListener = (target: string, path: string, error: unknown) => void;
+
 /** The decoder and the size limit of responses. */
 interface ResponseReader {
   readonly codec: Codec;
   readonly maxBytes: number;
+  readonly onUndecodable: UndecodableResponseListener;
 }
 
 /** A keep-alive HTTP client. A response that exceeds the limit or can't be decoded is a `NoResponseError`. */
@@ -81,6 +85,7 @@
     private readonly codec: Codec,
     connections: PoolLimits,
     private readonly maxResponseBytes: number,
+    private readonly onUndecodable: UndecodableResponseListener = () => undefined,
   ) {
     this.#agent = new BoundedAgent(connections);
   }
@@ -101,7 +106,7 @@
       const bytes = body === undefined ? undefined : this.codec.encode(body);
       const exchange = new HttpExchange(
         { target, method, path, bytes, timeoutMs, maySend },
-        { codec: this.codec, maxBytes: this.maxResponseBytes },
+        { codec: this.codec, maxBytes: this.maxResponseBytes, onUndecodable: this.onUndecodable },
         { resolve, reject },
       );
       exchange.send(this.#agent);
@@ -202,6 +207,7 @@
     try {
       body = bytes.length === 0 ? null : this.reader.codec.decode(bytes);
     } catch (error) {
+      this.reader.onUndecodable(this.request.target, this.request.path, error);
       this.#fail('the answer is not MessagePack', { cause: error });
       return;
     }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -8,6 +8,8 @@
   params: Record<string, string>;
   /** The raw body; empty when there is none. */
   body: Uint8Array;
+  /** The IP address that the request came from. */
+  sender: string;
 }
 
 /** The reply of a route. */
@@ -38,6 +40,8 @@
   encode(value: unknown): Uint8Array;
   /** Called with an error that no route handled; the response is 503. */
   onError(error: unknown): void;
+  /** Called for a request that gets a 4xx response before it reaches a route. */
+  onRefused?(sender: string, problem: string): void;
 }
 
 const EMPTY_BODY = new Uint8Array(0);
@@ -79,16 +83,17 @@
 function setErrorReplies(
   server: FastifyInstance,
   writer: ReplyWriter,
-  onError: ServerOptions['onError'],
+  { onError, onRefused }: ServerOptions,
 ): void {
   server.setNotFoundHandler((_request, reply) => {
     writer.write(reply, { status: STATUS_NOT_FOUND });
   });
-  server.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => {
+  server.setErrorHandler((error: Error & { statusCode?: number }, request, reply) => {
     const { statusCode } = error;
     const isClientError = statusCode !== undefined && statusCode !== 0 && statusCode < STATUS_SERVER_ERROR;
     const status = isClientError ? statusCode : STATUS_UNAVAILABLE;
-    if (status === STATUS_UNAVAILABLE) onError(error);
+    if (isClientError) onRefused?.(request.ip, error.message);
+    else onError(error);
     writer.write(reply, { status, body: { error: error.message } });
   });
 }
@@ -118,6 +123,7 @@
     const handled = this.route.handle({
       params: request.params as Record<string, string>,
       body: request.body instanceof Uint8Array ? request.body : EMPTY_BODY,
+      sender: request.ip,
     });
     if (this.route.use === 'workers' && this.connections.isNearWorkerLimit) {
       reply.header('connection', 'close');
@@ -154,7 +160,7 @@
   });
   const writer = new ReplyWriter(options.encode);
   setBodyParsers(server);
-  setErrorReplies(server, writer, options.onError);
+  setErrorReplies(server, writer, options);
   for (const route of routes) {
     const handler = new RouteHandler(route, connections, writer);
     server.route({
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -40,8 +40,11 @@
   return out;
 }
 
+/** Called with the content of a frame, and the IP address that it came from. */
+export type FrameListener = (bytes: Buffer, sender: string) => void;
+
 /** Receives frames from peers. When a connection delivers corrupt data, only that connection is closed. */
-export function listenForPeers(address: string, onFrame: (bytes: Buffer) => void, log: Log): Server {
+export function listenForPeers(address: string, onFrame: FrameListener, log: Log): Server {
   const server = createServer((socket) => {
     void receiveFrames(socket, onFrame, log);
   });
@@ -53,13 +56,14 @@
   return server;
 }
 
-async function receiveFrames(socket: Socket, onFrame: (bytes: Buffer) => void, log: Log): Promise<void> {
+async function receiveFrames(socket: Socket, onFrame: FrameListener, log: Log): Promise<void> {
+  const sender = socket.remoteAddress ?? 'unknown';
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
   // Without a timeout, the connection of a peer that lost power would never be closed.
   socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy());
   try {
-    for await (const bytes of readFrames(socket, MAX_FRAME_BYTES)) onFrame(bytes);
+    for await (const bytes of readFrames(socket, MAX_FRAME_BYTES)) onFrame(bytes, sender);
   } catch (error) {
     log.debug({ err: describeError(error) }, 'inbound peer connection failed');
   } finally {
--- a/test/fakes/key-value-store.ts
+++ b/test/fakes/key-value-store.ts
@@ -38,6 +38,13 @@
  */
 export type StoreFault = { lateMs: number } | 'lose answer' | { slowMs: number } | 'refuse';
 
+/** Whether all texts in a value are valid Unicode, as MessagePack requires of text. */
+function hasValidTexts(value: unknown): boolean {
+  if (typeof value === 'string') return !/\p{Surrogate}/u.test(value);
+  if (typeof value !== 'object' || value === null) return true;
+  return Object.entries(value).every(([key, item]) => hasValidTexts(key) && hasValidTexts(item));
+}
+
 const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
 
 const noAnswer = (): Promise<HttpResponse> => new Promise(() => undefined);
@@ -190,6 +197,7 @@
       this.oversizedTransactions.push(`${from}: ${violation}`);
       return { status: 400, body: { error: violation } };
     }
+    if (!hasValidTexts({ guards, apply })) return { status: 400, body: { error: 'text is not valid UTF-8' } };
     // Transactions whose conditions fail count against the rate limit, too.
     if (!this.#consumeWriteTokens(apply.length)) {
       this.rejectedByRateLimit += 1;
--- /dev/null
+++ b/test/hostile/real-controllers.ts
@@ -0,0 +1,241 @@
+/** @file Three controllers as real processes, with machines and users on the loopback range, and hostile senders. */
+import { readFileSync } from 'node:fs';
+import { connect } from 'node:net';
+import * as fc from 'fast-check';
+import { codec } from '../../src/protocol/codec';
+import { readPeerMessage } from '../../src/protocol/peers';
+import { readSubmission } from '../../src/protocol/users';
+import { readHeartbeat } from '../../src/protocol/workers';
+import { HttpClient, NoResponseError } from '../../src/transport/http-client';
+import { writeFrame } from '../../src/transport/peer-link';
+import { FakeKeyValueStore } from '../fakes/key-value-store';
+import { submission } from '../fakes/submission';
+import type { JobProfile } from '../fakes/worker';
+import {
+  CLOUD_ADDRESS,
+  ControllerProcesses,
+  STORE_ADDRESS,
+  TEAMS,
+  type ControllerProcess,
+} from '../load/controllers';
+import { LoadCloud } from '../load/load-cloud';
+import { LoopbackNetwork, realClock } from '../load/loopback';
+import { DECODERS, type TestedDecoder } from './decoders';
+import { deployFlags } from './deploy-flags';
+import { hostileFrame, hostileMessage } from './messages';
+
+const MACHINES = 20;
+const LEASE_S = 26;
+const HEARTBEAT_S = 3;
+const SENDERS = 30;
+const SENDER_PAUSE_MS = 100;
+const JOB_INTERVAL_MS = 1_000;
+const JOB = { pieces: 4, cpus: 2, memGb: 2, reckonS: 4 };
+/** Users wait this long for a response, repeat a submission for this long, and expect a short job to end within this time. */
+const USER_TIMEOUT_MS = 5_000;
+const USER_PATIENCE_MS = 60_000;
+const MAX_JOB_MS = 120_000;
+const POLL_MS = 1_000;
+const RETRY_MS = 1_000;
+const LOG_LINES = 12;
+const LONE_SURROGATE = '\ud800';
+
+const REQUEST_KINDS = [
+  {
+    path: '/work',
+    decoder: decoderOf('submission'),
+    isMalformed: (bytes: Buffer) => readSubmission(bytes).kind === 'invalid',
+  },
+  {
+    path: '/hello',
+    decoder: decoderOf('heartbeat'),
+    isMalformed: (bytes: Buffer) => !readHeartbeat(bytes).ok,
+  },
+];
+
+function decoderOf(name: string): TestedDecoder {
+  const decoder = DECODERS[name];
+  if (!decoder) throw new Error(`no decoder ${name}`);
+  return decoder;
+}
+
+/** What the run saw. */
+export interface HostileLoadResult {
+  readonly sent: number;
+  readonly frames: number;
+  /** Malformed requests by the status of their response; `none` without one. */
+  readonly statuses: Readonly<Record<string, number>>;
+  readonly submitted: number;
+  /** Ordinary jobs that were not accepted, or not done in time. */
+  readonly failedJobs: readonly string[];
+  /** Controllers that ended, with the last lines of their logs. */
+  readonly ended: readonly string[];
+}
+
+/** A deployment under hostile and ordinary load for some time. */
+export class HostileLoad {
+  readonly #processes: ControllerProcesses;
+  readonly #network = new LoopbackNetwork();
+  readonly #cloud: LoadCloud;
+  readonly #store = new FakeKeyValueStore(realClock);
+  readonly #jobProfiles = new Map<string, JobProfile>();
+  /** Sends bodies as they are. */
+  readonly #rawHttp = new HttpClient(
+    { encode: (bytes) => bytes as Uint8Array, decode: (bytes) => codec.decode(bytes) },
+    { perHost: SENDERS, idle: () => 3 * SENDERS },
+    64 * 1024,
+  );
+  readonly #statuses: Record<string, number> = {};
+  readonly #failedJobs: string[] = [];
+  #sent = 0;
+  #frames = 0;
+  #jobs = 0;
+
+  constructor(
+    private readonly out: string,
+    private readonly seed: number,
+  ) {
+    this.#processes = new ControllerProcesses({
+      out,
+      bundle: 'target/main.js',
+      flags: deployFlags(),
+      controllers: 3,
+      heartbeatS: String(HEARTBEAT_S),
+      writeRps: '200',
+      cloudRps: '10',
+      sockets: '2500',
+      classes: ['batch'],
+      isProfiled: false,
+    });
+    this.#cloud = new LoadCloud({
+      maxMachines: MACHINES,
+      bootMs: 1_000,
+      workers: { controllers: this.#processes.nodes, heartbeatS: HEARTBEAT_S, leaseS: LEASE_S },
+      clock: realClock,
+      network: this.#network,
+      jobProfile: (job) => this.#jobProfiles.get(job),
+    });
+    this.#network.attach(STORE_ADDRESS, (request) => this.#store.handle(request));
+    this.#network.attach(CLOUD_ADDRESS, this.#cloud.handle);
+  }
+
+  /** Runs the load, waits for the jobs, and ends the controllers that are left. */
+  async run(seconds: number): Promise<HostileLoadResult> {
+    const controllers = this.#processes.startAll(0);
+    await this.#processes.waitUntilUp();
+    const until = realClock.now() + seconds * 1_000;
+    const senders = Array.from({ length: SENDERS }, (_, sender) => this.#sendUntil(until, sender));
+    const users: Promise<void>[] = [];
+    while (realClock.now() < until) {
+      users.push(this.#runUser());
+      await realClock.sleep(JOB_INTERVAL_MS);
+    }
+    await Promise.all([...senders, ...users]);
+    const ended = controllers.filter(({ child }) => child.exitCode !== null || child.signalCode !== null);
+    const result = {
+      sent: this.#sent,
+      frames: this.#frames,
+      statuses: this.#statuses,
+      submitted: this.#jobs,
+      failedJobs: this.#failedJobs,
+      ended: ended.map((controller) => this.#describeEnd(controller)),
+    };
+    await this.#processes.terminate(controllers.filter((controller) => !ended.includes(controller)));
+    for (const { worker } of this.#cloud.machines.values()) worker.terminate();
+    this.#network.close();
+    this.#rawHttp.close();
+    return result;
+  }
+
+  #describeEnd({ name, child }: ControllerProcess): string {
+    const lines = readFileSync(`${this.out}/${name}.log`, 'utf8').trimEnd().split('\n');
+    const end = child.signalCode ?? String(child.exitCode);
+    return [`${name} ended with ${end}`, ...lines.slice(-LOG_LINES)].join('\n');
+  }
+
+  /** Sends malformed messages to one controller after the other, from one sender. */
+  async #sendUntil(until: number, sender: number): Promise<void> {
+    for (let round = 0; realClock.now() < until; round += 1) {
+      const seed = this.seed * 1_000_000 + sender * 10_000 + round;
+      const node = this.#processes.nodes[round % this.#processes.nodes.length];
+      if (!node) return;
+      if (sender % 3 === 2) this.#sendFrame(node.back, seed);
+      else await this.#sendRequest(node.address, sender % 2, seed, round);
+      await realClock.sleep(SENDER_PAUSE_MS);
+    }
+  }
+
+  async #sendRequest(address: string, kind: number, seed: number, round: number): Promise<void> {
+    const requestKind = REQUEST_KINDS[kind];
+    if (!requestKind) return;
+    const { path, decoder, isMalformed } = requestKind;
+    const hostile = hostileMessage(decoder).filter(isMalformed);
+    // As in the records: an ordinary submission with a name that isn't valid text.
+    const invalidText = codec.encode(submission('req-999999', { build: `img-600${LONE_SURROGATE}` }));
+    const isInvalidText = path === '/work' && round % 5 === 0;
+    const bytes = isInvalidText ? invalidText : fc.sample(hostile, { seed, numRuns: 1 })[0];
+    this.#sent += 1;
+    const status = await this.#statusOf(this.#rawHttp, address, path, bytes);
+    this.#statuses[status] = (this.#statuses[status] ?? 0) + 1;
+  }
+
+  #sendFrame(address: string, seed: number): void {
+    const { valid, maxBytes } = decoderOf('peer frame');
+    const [frame] = fc.sample(
+      hostileFrame(valid, maxBytes).filter((bytes) => !readPeerMessage(bytes)),
+      { seed, numRuns: 1 },
+    );
+    if (!frame) return;
+    this.#frames += 1;
+    const [host, port] = address.split(':');
+    const socket = connect({ host: host ?? '', port: Number(port) });
+    socket.on('error', () => socket.destroy());
+    socket.end(writeFrame(frame));
+  }
+
+  async #statusOf(http: HttpClient, address: string, path: string, body: unknown): Promise<string> {
+    try {
+      return String((await http.call(address, 'POST', path, body, USER_TIMEOUT_MS)).status);
+    } catch (error) {
+      if (error instanceof NoResponseError) return 'none';
+      throw error;
+    }
+  }
+
+  /** Submits an ordinary job, and waits until it is done. */
+  async #runUser(): Promise<void> {
+    this.#jobs += 1;
+    const id = `req-${String(this.#jobs).padStart(6, '0')}`;
+    this.#jobProfiles.set(id, { runS: JOB.reckonS, saveS: 0, checkpointS: 0, cpus: JOB.cpus });
+    const body = submission(id, { ...JOB, crew: TEAMS[this.#jobs % TEAMS.length] });
+    const startedAt = realClock.now();
+    const isAccepted = (status: string): boolean => status === '200' || status === '201';
+    while (!isAccepted(await this.#statusOf(this.#processes.http, this.#address(), '/work', body))) {
+      if (realClock.now() - startedAt > USER_PATIENCE_MS) {
+        this.#failedJobs.push(`${id} was not accepted`);
+        return;
+      }
+      await realClock.sleep(RETRY_MS);
+    }
+    while (!(await this.#isDone(id))) {
+      if (realClock.now() - startedAt > MAX_JOB_MS) {
+        this.#failedJobs.push(`${id} is not done`);
+        return;
+      }
+      await realClock.sleep(POLL_MS);
+    }
+  }
+
+  async #isDone(id: string): Promise<boolean> {
+    const { http } = this.#processes;
+    const response = await http
+      .call(this.#address(), 'GET', `/work/${id}`, undefined, USER_TIMEOUT_MS)
+      .catch(() => undefined);
+    return (response?.body as { standing?: string } | null | undefined)?.standing === 'done';
+  }
+
+  #address(): string {
+    const { nodes } = this.#processes;
+    return nodes[Math.floor(Math.random() * nodes.length)]?.address ?? '';
+  }
+}
