--- a/review/stand-ins-2/case.ts
+++ b/review/stand-ins-2/case.ts
@@ -7,7 +7,7 @@
 import { StateService } from './state-service';
 import { Users, type Submission } from './users';
 import { freeAddresses, now, serve, type WireServer } from './wire';
-import type { JobDescription, Site } from './worker';
+import type { JobDescription, Site, WorkerOptions } from './worker';
 
 /** What a case found. */
 export interface Verdict {
@@ -41,6 +41,8 @@
   readonly deployment: Deployment;
   readonly types: readonly MachineType[];
   readonly controllers: number;
+  /** What workers do with the disruption. */
+  readonly troubledWorkers?: Pick<WorkerOptions, 'nextTally' | 'laterFields'>;
 }
 
 const EXIT_HELD = 0;
@@ -50,6 +52,8 @@
 const HEALTHY_WITHIN_MS = 15_000;
 const MAX_LINES_OF_A_KIND = 40;
 
+const isTroubled = process.env.TROUBLE !== '0';
+
 /** Writes down what was sent, answered and run. */
 class Record {
   readonly #lines: string[] = [];
@@ -109,7 +113,7 @@
 
 /** The parts of a running deployment. */
 class RunningStage implements Stage {
-  readonly isTroubled = process.env.TROUBLE !== '0';
+  readonly isTroubled = isTroubled;
   readonly #servers: WireServer[] = [];
 
   private constructor(
@@ -122,7 +126,11 @@
     private readonly record: Record,
   ) {}
 
-  static async open({ deployment, types, controllers: count }: StageOptions, record: Record, folder: string) {
+  static async open(
+    { deployment, types, controllers: count, troubledWorkers }: StageOptions,
+    record: Record,
+    folder: string,
+  ) {
     const addresses = await freeAddresses(2 * count);
     const nodes = Array.from({ length: count }, (_, index) => ({
       name: `hearth-${index}`,
@@ -134,7 +142,8 @@
     const state = new StateService(limits);
     const controllerAddresses = nodes.map(({ name, bind }) => ({ name, address: bind }));
     const { reportS, leaseS } = workers;
-    const worker = { reportS, leaseS, controllers: controllerAddresses };
+    const troubled = isTroubled ? troubledWorkers : {};
+    const worker = { reportS, leaseS, controllers: controllerAddresses, ...troubled };
     const cloud = new Cloud({ types, ...cloudLimits, worker, site });
     const stateServer = await serve((request) => state.handle(request));
     const cloudServer = await serve((request) => cloud.handle(request));
--- a/review/stand-ins-2/cloud.ts
+++ b/review/stand-ins-2/cloud.ts
@@ -21,7 +21,7 @@
   readonly types: readonly MachineType[];
   readonly listLagS: number;
   readonly rps: number;
-  readonly worker: Pick<WorkerOptions, 'reportS' | 'leaseS' | 'controllers'>;
+  readonly worker: Pick<WorkerOptions, 'reportS' | 'leaseS' | 'controllers' | 'nextTally' | 'laterFields'>;
   readonly site: Site;
 }
 
--- a/review/stand-ins-2/wire.ts
+++ b/review/stand-ins-2/wire.ts
@@ -1,7 +1,7 @@
 /** @file HTTP with MessagePack bodies on the loopback address, as every interface of the protocol uses it. */
 import { Agent, createServer, request, type IncomingMessage, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { decode, encode } from '@msgpack/msgpack';
+import { decode, Encoder } from '@msgpack/msgpack';
 
 /** A request as a stand-in receives it. */
 export interface WireRequest {
@@ -28,6 +28,9 @@
 }
 
 const HOST = '127.0.0.1';
+/** Writes a `bigint` as an integer of 64 bits. */
+const encoder = new Encoder({ useBigInt64: true, ignoreUndefined: true });
+const encode = (value: unknown): Uint8Array => encoder.encode(value);
 const agent = new Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: 256 });
 /** Requests that aren't finished within this time count as unanswered by default. */
 const DEFAULT_TIMEOUT_MS = 5_000;
--- a/review/stand-ins-2/worker.ts
+++ b/review/stand-ins-2/worker.ts
@@ -37,6 +37,10 @@
   readonly reportS: number;
   readonly leaseS: number;
   readonly controllers: readonly { readonly name: string; readonly address: string }[];
+  /** The next value of the count of reports and answers; by default it counts from 1. */
+  readonly nextTally?: (() => bigint) | undefined;
+  /** Fields of a later version of the protocol, which each report has as well. */
+  readonly laterFields?: Readonly<Record<string, unknown>> | undefined;
 }
 
 type Standing = 'fetching' | 'running' | 'flushing' | 'ended';
@@ -115,7 +119,7 @@
   }
 
   #report(): Record<string, unknown> {
-    const { id, frame, yard, loaners } = this.options;
+    const { id, frame, yard, loaners, nextTally, laterFields } = this.options;
     this.#tally += 1;
     const pieces = [...this.#tasks.values()].map(({ piece, try: number, standing, cause, stored }) => ({
       piece,
@@ -125,13 +129,14 @@
       ...(stored === undefined ? {} : { stored }),
     }));
     return {
+      ...laterFields,
       hearth: id,
       endpoint: this.address,
       frame,
       yard,
       loaners,
       shift: this.#shift,
-      tally: this.#tally,
+      tally: nextTally ? nextTally() : this.#tally,
       baton: this.#baton,
       warningS: null,
       pieces,
