Review case 4: arrays of 5 CPUs, and a start of nothing counts as well

Done: tasks of 5 CPUs, inside the variation of the site file (600,000 machines); the check counts a run in which no task of any job is started.

--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -15,7 +15,7 @@
 
 const idOf = (index: number): string => `req-${String(index).padStart(6, '0')}`;
 
-/** Submits an array of the class, whose tasks have the CPUs, the memory and the image of the page. */
+/** Submits an array of the class: 4 CPUs and 4.7 GB in the middle, which vary by half in the site file. */
 function submitArray(stage: Stage, index: number): Promise<number | undefined> {
   return stage.submit(
     {
@@ -24,8 +24,8 @@
       crew: 'growth',
       urgency: 'urgent',
       pieces: PIECES,
-      cpus: 4,
-      memGb: 4.7,
+      cpus: 5,
+      memGb: 5.9,
       build: 'img-1',
       sizeGb: 1.2,
       reckonS: 50,
@@ -61,9 +61,10 @@
   while (now() < until) await sleep(POLL_MS);
   const ends = stage.controllers.unexpectedEnds.length;
   const small = [...stage.results].filter((piece) => piece.startsWith(`${idOf(arrays)}/`)).length;
+  // The cloud has room for more than thirty machines all the time, so that some task runs unless the controllers hang.
   return {
-    broken: ends > 0,
-    why: `${ends} ends of controllers; ${stage.results.size} tasks done, ${small} of ${SMALL_PIECES} of the small job`,
+    broken: ends > 0 || stage.starts.size === 0,
+    why: `${ends} ends of controllers; ${stage.starts.size} tasks started, ${small} of ${SMALL_PIECES} of the small job done`,
   };
 }
 
