--- a/review/stand-ins-2/case.ts
+++ b/review/stand-ins-2/case.ts
@@ -27,6 +27,8 @@
   readonly isTroubled: boolean;
   /** Starts of tasks, by task. */
   readonly starts: ReadonlyMap<string, number>;
+  /** Tasks that were started on one machine while they were on another. */
+  readonly doubles: readonly string[];
   /** How many sessions of workers ended because their lease ran out. */
   readonly lostSessions: () => number;
   /** How many reports of workers got another answer than 200, 421 or 503, or none. */
@@ -41,6 +43,8 @@
   readonly deployment: Deployment;
   readonly types: readonly MachineType[];
   readonly controllers: number;
+  /** When and at which port the machine with this number comes up. */
+  readonly boot?: (number: number) => Promise<number | undefined>;
   /** What workers do with the disruption. */
   readonly troubledWorkers?: Pick<WorkerOptions, 'nextTally' | 'laterFields'>;
 }
@@ -86,6 +90,8 @@
   readonly jobs = new Map<string, JobDescription>();
   readonly results = new Set<string>();
   readonly starts = new Map<string, number>();
+  readonly doubles: string[] = [];
+  readonly #machines = new Map<string, Set<string>>();
   lostSessions = 0;
   refusedReports = 0;
 
@@ -94,9 +100,16 @@
   onStarted(piece: string, machine: string): void {
     this.starts.set(piece, (this.starts.get(piece) ?? 0) + 1);
     this.record.noteSome('tasks started', `${machine} started ${piece}`);
+    const machines = this.#machines.get(piece) ?? new Set<string>();
+    if (machines.size > 0) {
+      this.doubles.push(`${piece} started on ${machine} while it was on ${[...machines].join(', ')}`);
+      this.record.note(this.doubles.at(-1) ?? '');
+    }
+    this.#machines.set(piece, machines.add(machine));
   }
 
   onLeft(piece: string, machine: string, cause: string): void {
+    this.#machines.get(piece)?.delete(machine);
     this.record.noteSome(`tasks ${cause}`, `${machine}: ${piece} ${cause}`);
   }
 
@@ -127,7 +140,7 @@
   ) {}
 
   static async open(
-    { deployment, types, controllers: count, troubledWorkers }: StageOptions,
+    { deployment, types, controllers: count, troubledWorkers, boot }: StageOptions,
     record: Record,
     folder: string,
   ) {
@@ -144,7 +157,7 @@
     const { reportS, leaseS } = workers;
     const troubled = isTroubled ? troubledWorkers : {};
     const worker = { reportS, leaseS, controllers: controllerAddresses, ...troubled };
-    const cloud = new Cloud({ types, ...cloudLimits, worker, site });
+    const cloud = new Cloud({ types, ...cloudLimits, worker, site, boot });
     const stateServer = await serve((request) => state.handle(request));
     const cloudServer = await serve((request) => cloud.handle(request));
     const onEnd = ({ node, code, signal, lastWords }: UnexpectedEnd): void => {
@@ -172,6 +185,10 @@
     return this.site.starts;
   }
 
+  get doubles(): readonly string[] {
+    return this.site.doubles;
+  }
+
   lostSessions = (): number => this.site.lostSessions;
 
   refusedReports = (): number => this.site.refusedReports;
--- a/review/stand-ins-2/cloud.ts
+++ b/review/stand-ins-2/cloud.ts
@@ -1,5 +1,5 @@
 /** @file A stand-in for the cloud: rents machines up to a capacity, boots them, lists them with a lag, and deletes them. */
-import { now, type WireAnswer, type WireRequest } from './wire';
+import { now, sleep, type WireAnswer, type WireRequest } from './wire';
 import { Worker, type Site, type WorkerOptions } from './worker';
 
 /** A machine type, and how many machines of it there are in each zone: on demand and as spot machines. */
@@ -23,6 +23,8 @@
   readonly rps: number;
   readonly worker: Pick<WorkerOptions, 'reportS' | 'leaseS' | 'controllers' | 'nextTally' | 'laterFields'>;
   readonly site: Site;
+  /** Waits until the machine with this number comes up; may return its port. By default about the nominal boot time. */
+  readonly boot?: ((number: number) => Promise<number | undefined>) | undefined;
 }
 
 interface Machine {
@@ -32,7 +34,6 @@
   readonly loaners: boolean;
   readonly rentedAt: number;
   readonly worker: Worker;
-  readonly timer: NodeJS.Timeout;
   upAt: number | undefined;
   goneAt: number | undefined;
 }
@@ -120,15 +121,8 @@
   #boot(type: MachineType, yard: string, loaners: boolean): string {
     const { worker: settings, site } = this.options;
     const id = `host-${String(this.#machines.size + 1).padStart(6, '0')}`;
-    const { label: frame, cpus, memGb, fetchGbPerS, bootS } = type;
+    const { label: frame, cpus, memGb, fetchGbPerS } = type;
     const worker = new Worker({ id, frame, yard, loaners, cpus, memGb, fetchGbPerS, ...settings }, site);
-    const timer = setTimeout(
-      () => {
-        machine.upAt = now();
-        void worker.start();
-      },
-      bootS * 1000 * (0.6 + 0.9 * Math.random()),
-    );
     const rentedAt = now();
     const machine: Machine = {
       id,
@@ -137,14 +131,32 @@
       loaners,
       rentedAt,
       worker,
-      timer,
       upAt: undefined,
       goneAt: undefined,
     };
     this.#machines.set(id, machine);
+    void this.#bringUp(machine, this.#machines.size);
     return id;
   }
 
+  async #bringUp(machine: Machine, number: number): Promise<void> {
+    const { boot } = this.options;
+    const port = boot
+      ? await boot(number)
+      : await sleep(machine.type.bootS * 1000 * (0.6 + 0.9 * Math.random())).then(() => undefined);
+    if (machine.goneAt !== undefined) return;
+    machine.upAt = now();
+    await machine.worker.start(port);
+  }
+
+  /** Takes a spot machine back without a notice, and returns the port that its worker had. */
+  take(id: string): number {
+    const machine = this.#machines.get(id);
+    const port = Number(machine?.worker.address?.split(':')[1]);
+    if (machine) this.#remove(machine);
+    return port;
+  }
+
   #release(names: readonly string[]): WireAnswer {
     if (names.length > MAX_RELEASED) return BAD_REQUEST;
     for (const name of names) {
@@ -157,7 +169,6 @@
   #remove(machine: Machine): void {
     if (machine.goneAt !== undefined) return;
     machine.goneAt = now();
-    clearTimeout(machine.timer);
     machine.worker.stop();
   }
 
--- a/review/stand-ins-2/users.ts
+++ b/review/stand-ins-2/users.ts
@@ -17,6 +17,7 @@
   readonly bookmarkS?: number;
   readonly stashS?: number;
   readonly dueS?: number | null;
+  readonly yard?: string | null;
   readonly awaits?: readonly string[];
 }
 
@@ -57,13 +58,13 @@
 
   /** Submits a job, and repeats as the protocol has it. Returns the last status; undefined without any answer. */
   async submit(submission: Submission): Promise<number | undefined> {
-    const { loaners = true, bookmarkS = 0, stashS = 0, dueS = null, ...fields } = submission;
+    const { loaners = true, bookmarkS = 0, stashS = 0, dueS = null, yard = null, ...fields } = submission;
     const body = {
       ...fields,
       shape: 'sweep',
       cards: 0,
       frames: null,
-      yard: null,
+      yard,
       together: false,
       apart: false,
       loaners,
--- a/review/stand-ins-2/wire.ts
+++ b/review/stand-ins-2/wire.ts
@@ -42,8 +42,8 @@
   return bytes.length === 0 ? undefined : decode(bytes);
 }
 
-/** Serves requests on a free port. */
-export async function serve(handler: Handler): Promise<WireServer> {
+/** Serves requests on a port, a free one by default. */
+export async function serve(handler: Handler, wantedPort = 0): Promise<WireServer> {
   const server: Server = createServer((message, response) => {
     const { method = 'GET', url = '/' } = message;
     const parsed = new URL(url, 'http://host');
@@ -63,7 +63,7 @@
   server.keepAliveTimeout = 120_000;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(0, HOST, resolve);
+    server.listen(wantedPort, HOST, resolve);
   });
   const { port } = server.address() as AddressInfo;
   return {
--- a/review/stand-ins-2/worker.ts
+++ b/review/stand-ins-2/worker.ts
@@ -91,8 +91,9 @@
     return this.#server?.address;
   }
 
-  async start(): Promise<void> {
-    this.#server = await serve((request) => this.#handle(request));
+  /** Comes up at a port of the loopback address, a free one by default. */
+  async start(port?: number): Promise<void> {
+    this.#server = await serve((request) => this.#handle(request), port);
     this.#leaseFrom = now();
     void this.#reportLoop();
     void this.#leaseLoop();
