Review stand-ins: remove the temporary folder also when the time of a case is over

Cause: a script that ended for time left its folder, and a log opened after the removal could end the script with 1. Done: the folder is removed as the process exits; errors of logs are ignored.

--- a/review/stand-ins-2/case.ts
+++ b/review/stand-ins-2/case.ts
@@ -218,8 +218,12 @@
 ): Promise<number> {
   const folder = mkdtempSync(join(process.env.KEEP_LOGS ?? tmpdir(), 'ironstream-review-'));
   let stage: RunningStage | undefined;
-  const onExit = (): void => stage?.controllers.close();
-  process.once('exit', onExit);
+  const cleanUp = (): void => {
+    stage?.controllers.close();
+    if (process.env.KEEP_LOGS === undefined) rmSync(folder, { recursive: true, force: true });
+  };
+  // Also when the time of the case is over.
+  process.once('exit', cleanUp);
   try {
     stage = await RunningStage.open(options, record, folder);
     record.note(stage.isTroubled ? 'with the disruption' : 'without the disruption');
@@ -233,7 +237,7 @@
     return broken ? EXIT_BROKEN : EXIT_HELD;
   } finally {
     stage?.close();
-    if (process.env.KEEP_LOGS === undefined) rmSync(folder, { recursive: true, force: true });
+    cleanUp();
   }
 }
 
--- a/review/stand-ins-2/controllers.ts
+++ b/review/stand-ins-2/controllers.ts
@@ -130,6 +130,8 @@
     });
     this.#children.set(node.name, child);
     const log = createWriteStream(join(this.folder, `${node.name}.log`), { flags: 'a' });
+    // The folder of the case may be gone when a process was started just before the end.
+    log.on('error', () => undefined);
     let lastWords = '';
     child.stderr.on('data', (bytes: Buffer) => {
       log.write(bytes);
