Review scripts: an error of a stand-in and a signal are no broken rule, and leave no process

Cause: an unhandled error of a stand-in ended a script with 1, and SIGTERM ended it without its exit hook, so that three controllers went on.

--- a/review/stand-ins-2/case.ts
+++ b/review/stand-ins-2/case.ts
@@ -249,6 +249,15 @@
     record.write();
     process.exit(EXIT_NOT_RUN);
   }, MAX_RUN_MS);
+  // An error of a stand-in, or a signal, is no broken rule: the exit hook still ends the controllers.
+  const giveUp = (why: unknown): void => {
+    record.note(`not run: ${String(why)}`);
+    record.write();
+    process.exit(EXIT_NOT_RUN);
+  };
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.on(event, giveUp);
+  }
   let code = EXIT_NOT_RUN;
   try {
     code = await play(options, run, record);
--- a/review/stand-ins-2/wire.ts
+++ b/review/stand-ins-2/wire.ts
@@ -75,10 +75,21 @@
   };
 }
 
+/** Ports below those that the system gives to outgoing connections, so that none takes one in between. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+const PORT_TRIES = 200;
+
 /** Finds ports that are free now. */
 export async function freeAddresses(count: number): Promise<string[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => serve(() => undefined)));
+  const servers: WireServer[] = [];
+  for (let attempt = 0; attempt < PORT_TRIES && servers.length < count; attempt += 1) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    const server = await serve(() => undefined, port).catch(() => undefined);
+    if (server) servers.push(server);
+  }
   for (const server of servers) server.close();
+  if (servers.length < count) throw new Error('too few free ports');
   return servers.map(({ address }) => address);
 }
 
