Bound a scale-out plan by what one step can rent, and keep no memory for tasks that wait

On the same path: a dispatch table held a byte for each task, waiting or not, and a bitmap of all tasks, 112 KB for each such array.

The state of a task is derived from the issued and the done tasks, and the bitmap grows up to the last done task.

--- a/src/bookkeeping/bitmap.ts
+++ b/src/bookkeeping/bitmap.ts
@@ -1,13 +1,18 @@
 /** @file A bitmap of a job's completed tasks. */
 
-/** The completed tasks of a job, with one bit for each task. Completion records store ranges of these bits. */
+/** Shortest non-empty array of bits, in bytes. */
+const MIN_BYTES = 16;
+
+/**
+ * The completed tasks of a job, with one bit for each task. Completion records store ranges of these bits. The bitmap
+ * takes memory up to the last completed task only.
+ */
 export class Bitmap {
-  readonly #bits: Uint8Array;
+  /** The bits up to some index; those after it are not set. */
+  #bits: Uint8Array = new Uint8Array(0);
   #count = 0;
 
-  constructor(readonly size: number) {
-    this.#bits = new Uint8Array(Math.ceil(size / 8));
-  }
+  constructor(readonly size: number) {}
 
   /** The number of bits that are set. */
   get count(): number {
@@ -22,17 +27,27 @@
   /** Sets a bit. True: the index is in the bitmap, and the bit was not set before. */
   set(index: number): boolean {
     if (index < 0 || index >= this.size || this.has(index)) return false;
+    this.#growTo(index >> 3);
     this.#bits[index >> 3] = (this.#bits[index >> 3] ?? 0) | (1 << (index & 7));
     this.#count += 1;
     return true;
   }
 
+  #growTo(byte: number): void {
+    if (byte < this.#bits.length) return;
+    const wanted = Math.max(MIN_BYTES, byte + 1, 2 * this.#bits.length);
+    const grown = new Uint8Array(Math.min(wanted, Math.ceil(this.size / 8)));
+    grown.set(this.#bits);
+    this.#bits = grown;
+  }
+
   /**
    * The bits from `first`, a multiple of 8, to `end` (exclusive) as a base64 string. The bits in `additional` are also
    * set in the string, but not in this bitmap.
    */
   encode(first: number, end: number, additional: readonly number[] = []): string {
-    const bytes = Buffer.from(this.#bits.subarray(first / 8, Math.ceil(end / 8)));
+    const bytes = Buffer.alloc(Math.ceil(end / 8) - first / 8);
+    bytes.set(this.#bits.subarray(first / 8, Math.ceil(end / 8)));
     for (const index of additional) {
       const byte = (index - first) >> 3;
       bytes[byte] = (bytes[byte] ?? 0) | (1 << (index & 7));
--- a/src/coordination/autoscaling/scaling-plan.ts
+++ b/src/coordination/autoscaling/scaling-plan.ts
@@ -58,12 +58,17 @@
   readonly freeCpus: number;
 }
 
-/** The machines to rent, and the ids of the machines to release. */
+/** The machines to rent, up to `MAX_MACHINES_PER_PLAN` of them, and the ids of the machines to release. */
 export interface ScalingPlan {
   scaleOut: ScaleOutRequest[];
   scaleIn: string[];
 }
 
+/**
+ * The most machines that one plan rents. Tasks that need more wait for the next plan, which counts the machines rented so
+ * far; so a plan takes no more memory than one step of scale-out can use, however many tasks wait.
+ */
+export const MAX_MACHINES_PER_PLAN = 4_000;
 /** The cloud bills a machine for at least this long, so an earlier release saves nothing. */
 const MIN_BILLED_MS = 60_000;
 /** Tasks that may run on spot machines wait for a spot machine while their slack is longer than this many boot times. */
@@ -90,7 +95,10 @@
 /** Plans machines to rent for tasks that the present fleet won't run soon, and idle machines to release. */
 export function planScaling(input: ScalingInput): ScalingPlan {
   const planner = new ScaleOutPlanner(input);
-  for (const work of input.unplaced) planner.place(work);
+  for (const work of input.unplaced) {
+    if (planner.isFull) break;
+    planner.place(work);
+  }
   return { scaleOut: planner.requests(), scaleIn: input.areAllMachinesConfirmed ? chooseScaleIn(input) : [] };
 }
 
@@ -110,6 +118,7 @@
   readonly #bins: Bin[];
   readonly #machinesPerZone: ZoneCounts = new Map();
   #freeingCpus: number;
+  #newMachines = 0;
 
   constructor(private readonly input: ScalingInput) {
     this.#options = input.types.flatMap((type) =>
@@ -122,6 +131,11 @@
     this.#freeingCpus = input.freeingCpus;
   }
 
+  /** Whether the plan has as many new machines as it may have, so that the remaining tasks can't change it. */
+  get isFull(): boolean {
+    return this.#newMachines >= MAX_MACHINES_PER_PLAN;
+  }
+
   /** Assigns the job's unplaced tasks to freeing CPUs, booting machines or new ones, as far as the options allow. */
   place(work: UnplacedWork): void {
     const { job } = work;
@@ -185,12 +199,14 @@
   }
 
   #addMachine({ job, slackMs }: UnplacedWork, tasks: number, zones: ZoneCounts): Bin | undefined {
+    if (this.isFull) return undefined;
     const work = { job, tasks, slackMs, zones };
     const option = cheapestOption(work, this.#options, this.input.isBackedOff, this.#machinesPerZone);
     if (!option) return undefined;
     increment(this.#machinesPerZone, option.zone);
     const bin = { option, free: totalResources(option.type), isNew: true };
     this.#bins.push(bin);
+    this.#newMachines += 1;
     return bin;
   }
 }
--- a/src/coordination/shard/dispatch-table.ts
+++ b/src/coordination/shard/dispatch-table.ts
@@ -5,10 +5,6 @@
 import { PRIORITY_RANK, type Job, type Priority } from '../../protocol/model';
 import { JobFailures } from './job-failures';
 
-const UNASSIGNED = 0;
-const ISSUED = 1;
-const DONE = 2;
-
 /** The attempt to which an issued task is assigned. */
 export interface IssuedAttempt {
   readonly machine: string;
@@ -17,7 +13,7 @@
 
 /**
  * The dispatch table of one job: each task is unassigned, issued or done. It lives in memory and is rebuilt from the
- * completion records and the workers' heartbeats.
+ * completion records and the workers' heartbeats. It takes memory for issued and done tasks, not for those that wait.
  */
 export class DispatchTable {
   readonly submittedAt: number;
@@ -30,7 +26,6 @@
   /** The attempt of each issued task, by the task's number. */
   readonly issued = new Map<number, IssuedAttempt>();
   readonly #ownPriority: Priority;
-  readonly #states: Uint8Array;
   readonly #failures = new JobFailures();
   #job: Job;
   #waitingSince: number;
@@ -46,18 +41,19 @@
     /** The version of the job's record. */
     readonly version: number,
   ) {
-    const { job, submittedAt } = record;
-    this.#job = job;
+    const { submittedAt } = record;
+    const { job } = record;
+    const { dependencies, ...jobWithoutList } = job;
+    this.#job = dependencies ? jobWithoutList : job;
     this.#ownPriority = job.priority;
     this.submittedAt = submittedAt;
     this.#waitingSince = submittedAt;
-    this.#isReady = job.dependencies === undefined && record.dependencyParts === undefined;
+    this.#isReady = dependencies === undefined && record.dependencyParts === undefined;
     this.recorded = new Bitmap(job.tasks);
-    this.#states = new Uint8Array(job.tasks);
     this.#unassigned = job.tasks;
   }
 
-  /** The job with its effective priority: the highest of its own and those of the jobs that depend on it. */
+  /** The job without its list of dependencies, and with its effective priority: the highest of its own and those of the jobs that depend on it. */
   get job(): Job {
     return this.#job;
   }
@@ -101,25 +97,25 @@
   }
 
   isDone(task: number): boolean {
-    return this.#states[task] === DONE;
+    return this.recorded.has(task) || this.unrecorded.has(task);
   }
 
   /** Whether the task is one of the job's, and is neither issued nor done. */
   isUnassigned(task: number): boolean {
-    return this.#states[task] === UNASSIGNED;
+    const isTask = task >= 0 && task < this.#job.tasks;
+    return isTask && !this.issued.has(task) && !this.isDone(task);
   }
 
   /** The first unassigned task, or -1. */
   nextUnassigned(): number {
     if (this.#unassigned === 0) return -1;
-    while (this.#states[this.#searchFrom] !== UNASSIGNED) this.#searchFrom += 1;
+    while (!this.isUnassigned(this.#searchFrom)) this.#searchFrom += 1;
     return this.#searchFrom;
   }
 
   /** Assigns an unassigned task to an attempt. */
   issue(task: number, machine: string, key: string): void {
     if (!this.isUnassigned(task)) throw new Error(`task ${task} is not unassigned`);
-    this.#states[task] = ISSUED;
     this.#unassigned -= 1;
     this.issued.set(task, { machine, key });
   }
@@ -128,8 +124,7 @@
   markLost(task: number, key: string): boolean {
     if (this.issued.get(task)?.key !== key) return false;
     this.issued.delete(task);
-    if (this.#states[task] !== ISSUED) return false;
-    this.#states[task] = UNASSIGNED;
+    if (this.isDone(task)) return false;
     this.#unassigned += 1;
     this.#searchFrom = Math.min(this.#searchFrom, task);
     return true;
@@ -138,15 +133,14 @@
   /** Marks the task as done. Returns false for a repeated completion, which is discarded. */
   complete(task: number): boolean {
     if (task >= this.#job.tasks || this.isDone(task)) return false;
-    this.#setDone(task);
+    this.#endIssue(task);
     this.unrecorded.add(task);
     return true;
   }
 
-  #setDone(task: number): void {
-    if (this.isUnassigned(task)) this.#unassigned -= 1;
-    this.#states[task] = DONE;
-    this.issued.delete(task);
+  /** Called when the task becomes done, before it counts as done. */
+  #endIssue(task: number): void {
+    if (!this.issued.delete(task)) this.#unassigned -= 1;
   }
 
   /** Monotonic time of the last write of the job's completions, successful or not. */
@@ -164,8 +158,7 @@
     if (version <= (this.recordVersions.get(key) ?? 0)) return;
     this.recordVersions.set(key, version);
     for (const task of this.recorded.merge(first, bits)) {
-      this.unrecorded.delete(task);
-      this.#setDone(task);
+      if (!this.unrecorded.delete(task)) this.#endIssue(task);
     }
   }
 
--- a/test/scaling-plan.test.ts
+++ b/test/scaling-plan.test.ts
@@ -3,7 +3,14 @@
 import { test } from 'node:test';
 import { chooseConsolidation } from '../src/coordination/scheduling/consolidation';
 import { chooseUnresponsiveMachines } from '../src/coordination/scheduling/eager';
-import { planScaling, type ScalingInput } from '../src/coordination/autoscaling/scaling-plan';
+import {
+  MAX_MACHINES_PER_PLAN,
+  planScaling,
+  type FleetMachine,
+  type ScalingInput,
+} from '../src/coordination/autoscaling/scaling-plan';
+import { Bitmap } from '../src/bookkeeping/bitmap';
+import { DispatchTable } from '../src/coordination/shard/dispatch-table';
 import { job, machineWithFreeCpus, type } from './scheduling-inputs';
 
 test('a single unreachable machine is evicted and released; a whole unreachable zone counts as a network partition', () => {
@@ -101,3 +108,63 @@
   );
   assert.deepEqual(consolidationOf(machine('sparse', [task(4)]), 1), [], 'warm capacity is kept free');
 });
+
+// Guards against plans that fill the heap: arrays of 100,000 tasks that wait once ended every controller (review/4).
+test('a plan holds no more machines than one step can rent, and the next plan goes on from there', () => {
+  const waiting = Array.from({ length: 18 }, (_, index) =>
+    job(`array-${index}`, 'blue', 'high', { tasks: 100_000, cpus: 1.5 }),
+  );
+  const input: ScalingInput = {
+    unplaced: waiting.map((array) => ({ job: array, count: array.tasks, isUrgent: true, slackMs: 0 })),
+    machines: [],
+    types: [type],
+    isBackedOff: () => false,
+    freeingCpus: 0,
+    idleReleaseMs: 20_000,
+    areAllMachinesConfirmed: true,
+    warmCpus: 0,
+    freeCpus: 0,
+  };
+  const plannedMachines = (machines: readonly FleetMachine[]): number =>
+    planScaling({ ...input, machines }).scaleOut.reduce((sum, { count }) => sum + count, 0);
+  assert.equal(plannedMachines([]), MAX_MACHINES_PER_PLAN);
+  assert.ok(MAX_MACHINES_PER_PLAN >= 4_000, 'a fleet of 4,000 machines takes no more than one plan');
+  const booting = (count: number): FleetMachine[] =>
+    Array.from({ length: count }, (_, n) => {
+      const state = { isBooting: true, ageMs: 1_000, idleMs: 0 };
+      return { id: `booting-${n}`, type, zone: 'a', spot: true, ...state };
+    });
+  // Two tasks fit a machine, so that 900,000 machines are needed in all.
+  assert.equal(plannedMachines(booting(6_000)), MAX_MACHINES_PER_PLAN);
+});
+
+// Guards against memory for tasks that only wait: 1,000 arrays of 100,000 tasks took over 100 MB.
+test('an array that waits takes no memory for its tasks', () => {
+  const array = job('array', 'blue', 'high', { tasks: 100_000 });
+  const before = process.memoryUsage().arrayBuffers;
+  const tables = Array.from({ length: 200 }, () => new DispatchTable({ job: array, submittedAt: 0 }, 1));
+  const bytesPerTable = (process.memoryUsage().arrayBuffers - before) / tables.length;
+  assert.ok(bytesPerTable < 1_000, `${bytesPerTable} bytes of array buffers for each array`);
+});
+
+test('a task is unassigned, issued or done, and the numbers of each add up', () => {
+  const table = new DispatchTable({ job: job('array', 'blue', 'high', { tasks: 20 }), submittedAt: 0 }, 1);
+  table.issue(0, 'm1', 'first');
+  table.issue(1, 'm1', 'second');
+  assert.ok(table.complete(0));
+  assert.ok(table.complete(2), 'an earlier owner started the task');
+  assert.ok(!table.complete(0) && !table.complete(20), 'a repeated completion, and one of no task');
+  const stored = new Bitmap(20);
+  for (const task of [1, 2, 19]) stored.set(task);
+  table.mergeRecorded('live/done/array/0', { job: 'array', first: 0, bits: stored.encode(0, 20) }, 1);
+  assert.equal(table.done, 4);
+  assert.equal(table.unassigned, 16);
+  assert.equal(table.issued.size, 0);
+  assert.equal(table.nextUnassigned(), 3);
+  assert.ok(!table.markLost(1, 'second'), 'its task is done');
+  table.issue(3, 'm1', 'third');
+  assert.ok(table.markLost(3, 'third'));
+  assert.deepEqual([table.nextUnassigned(), table.unassigned], [3, 16]);
+  table.markRecorded([0]);
+  assert.deepEqual([table.done, table.recorded.count, table.unrecorded.size], [4, 4, 0]);
+});
