Keep each awaited name once, as a number at either end of its edge

Cause: every controller held each name of a list of `awaits` three times as text or reference: in the record of the watch cache, in the list of the graph and in the set of dependents, 75 to 88 bytes for each name and controller.

Change: the job graph gives each job a number, and keeps an edge as one number in the list of the waiting job and one in the list of the job that it awaits, ten bytes, outside of the heap. The watch cache keeps no lists (`valueToKeep`); the parts of a long list are kept as text until their job is known. Urgencies along chains are computed by these numbers, and an object is made only where a dependent changes something; a status lists its hundred names without copying all others.

--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -5,7 +5,6 @@
 import { NoResponseError } from '../transport/http-client';
 import { unendedJobConditions } from './job-conditions';
 import { KEY, PREFIX, read, type DependencyPartRecord, type JobRecord } from './records';
-import type { WatchCache } from './watch-cache';
 
 /** Bytes of a value that are reserved for the JSON around the list of dependencies. */
 const RESERVED_BYTES = 128;
@@ -36,22 +35,16 @@
   return parts;
 }
 
-/** The job that a part of a list of dependencies belongs to. */
-export function jobOfDependencyPartKey(key: string): string {
-  return key.slice(PREFIX.dependencyPart.length, key.lastIndexOf('/'));
-}
-
-/** The dependencies of a recorded job; undefined while the watch cache lacks parts of the list. */
-export function recordedDependencies(record: JobRecord, cache: WatchCache): readonly string[] | undefined {
-  const { id, dependencies } = record.job;
-  if (record.dependencyParts === undefined) return dependencies ?? [];
-  const allDependencies: string[] = [];
-  for (let part = 0; part < record.dependencyParts; part += 1) {
-    const stored = read.dependencyPart(cache.get(KEY.dependencyPart(id, part))?.value);
-    if (!stored) return undefined;
-    allDependencies.push(...stored.dependencies);
-  }
-  return allDependencies;
+/**
+ * What the watch cache keeps of a record: all but a list of dependencies, which the job graph keeps. A job that has
+ * dependencies keeps an empty list.
+ */
+export function withoutDependencies(key: string, value: unknown): unknown {
+  if (key.startsWith(PREFIX.dependencyPart)) return undefined;
+  if (!key.startsWith(PREFIX.job)) return value;
+  const record = read.job(value);
+  if (!record?.job.dependencies?.length) return value;
+  return { ...record, job: { ...record.job, dependencies: [] } };
 }
 
 /** A job's record to be written, and the conditions that guarantee that its list of dependencies is complete. */
--- a/src/bookkeeping/dependency-tracker.ts
+++ b/src/bookkeeping/dependency-tracker.ts
@@ -2,10 +2,10 @@
 import { WakeSignal, type Clock } from '../base/clock';
 import type { ChangeEvent } from '../protocol/key-value-store';
 import { NoResponseError } from '../transport/http-client';
-import { jobOfDependencyPartKey, recordedDependencies } from './dependency-records';
+import { DependencyParts, jobOfDependencyPartKey } from './dependency-parts';
 import type { FinalStates } from './final-states';
 import { JobGraph } from './job-graph';
-import { KEY, PREFIX, read } from './records';
+import { KEY, PREFIX, read, type JobRecord } from './records';
 import type { WatchCache } from './watch-cache';
 
 /** Interval between attempts to read the outcomes of dependencies that could not be read. */
@@ -29,7 +29,9 @@
   readonly #readyListeners: ReadyListener[] = [];
   /** Dependencies that have no live record in the watch cache, and whose outcome was not read yet. */
   readonly #unreadOutcomes = new Set<string>();
-  /** Jobs whose list of dependencies is incomplete, because the watch cache lacks some of its parts. */
+  /** Parts of lists of dependencies whose jobs are not in the graph yet. */
+  readonly #parts = new DependencyParts();
+  /** Live jobs of whose list of dependencies some parts are missing. */
   readonly #incompleteJobs = new Set<string>();
   readonly #wake: WakeSignal;
 
@@ -63,14 +65,20 @@
 
   /** Whether a dependency is live in the watch cache. If so, no owner with this cache or an older one started the job. */
   hasLiveDependency(id: string): boolean {
-    return this.graph.dependenciesOf(id).some((dependency) => this.cache.get(KEY.job(dependency)));
+    for (const dependency of this.graph.dependenciesOf(id)) {
+      if (this.cache.get(KEY.job(dependency))) return true;
+    }
+    return false;
   }
 
-  /** The dependencies of a job that this controller does not know to be done. */
-  unfinishedDependencies(id: string): string[] {
-    return this.graph
-      .dependenciesOf(id)
-      .filter((dependency) => this.graph.outcome(dependency)?.state !== 'done');
+  /** The first dependencies of a job that this controller does not know to be done, up to `maximum` of them. */
+  unfinishedDependencies(id: string, maximum: number): string[] {
+    const unfinished: string[] = [];
+    for (const dependency of this.graph.unfinishedDependenciesOf(id)) {
+      if (unfinished.length === maximum) break;
+      unfinished.push(dependency);
+    }
+    return unfinished;
   }
 
   /**
@@ -103,7 +111,8 @@
 
   #onChange({ key, value, deleted }: ChangeEvent): void {
     if (key.startsWith(PREFIX.dependencyPart)) {
-      if (!deleted) this.#onDependencyPart(key);
+      if (deleted) this.#parts.remove(key);
+      else this.#onDependencyPart(key, value);
     } else if (key.startsWith(PREFIX.job)) {
       const id = key.slice(PREFIX.job.length);
       if (deleted) this.#remove(id);
@@ -112,8 +121,11 @@
   }
 
   /** Handles a new part of a list of dependencies: adds its job if that was the last missing part. */
-  #onDependencyPart(partKey: string): void {
+  #onDependencyPart(partKey: string, value: unknown): void {
     const id = jobOfDependencyPartKey(partKey);
+    const part = read.dependencyPart(value);
+    if (!part || this.graph.has(id)) return;
+    this.#parts.add(partKey, part);
     if (this.#incompleteJobs.has(id)) this.#add(id, this.cache.get(KEY.job(id))?.value);
   }
 
@@ -121,17 +133,23 @@
     this.#unreadOutcomes.delete(id);
     const record = read.job(value);
     if (!record) return;
-    const dependencies = recordedDependencies(record, this.cache);
+    const dependencies = this.#recordedDependencies(id, record);
     if (dependencies === undefined) {
       this.#incompleteJobs.add(id);
       return;
     }
     this.#incompleteJobs.delete(id);
+    this.#parts.removeAll(id);
     if (dependencies.length === 0) return;
     this.graph.add(id, dependencies);
     for (const dependency of dependencies) this.#addDependency(dependency);
   }
 
+  /** The dependencies of a recorded job; undefined while some parts of the list are missing. */
+  #recordedDependencies(id: string, { job, dependencyParts }: JobRecord): readonly string[] | undefined {
+    return dependencyParts === undefined ? (job.dependencies ?? []) : this.#parts.join(id, dependencyParts);
+  }
+
   #addDependency(id: string): void {
     const outcome = this.finals.cached(id);
     if (outcome) this.graph.setOutcome(id, outcome);
@@ -140,6 +158,7 @@
 
   #remove(id: string): void {
     this.#incompleteJobs.delete(id);
+    this.#parts.removeAll(id);
     this.graph.remove(id);
     if (this.graph.isDependency(id) && !this.graph.outcome(id)) this.#scheduleRead(id);
   }
--- a/src/bookkeeping/job-graph.ts
+++ b/src/bookkeeping/job-graph.ts
@@ -1,5 +1,6 @@
 /** @file The dependencies among live jobs. */
 import type { FinalState } from '../protocol/model';
+import { NumberList } from './number-list';
 
 /** The final state of a job that other jobs depend on. */
 export interface DependencyOutcome {
@@ -8,19 +9,41 @@
   readonly endedAt: number | undefined;
 }
 
-const NO_JOBS: readonly string[] = [];
+const NO_NODES = new Uint32Array(0);
+
+/** A job of the graph: a live job with dependencies, or a dependency of one, or both. */
+class JobNode {
+  /** The nodes of the jobs that this one depends on; undefined if it is not live or has no dependencies. */
+  dependencies: Uint32Array | undefined;
+  /** The nodes of the live jobs that depend on this one. */
+  readonly dependents = new NumberList();
+  outcome: DependencyOutcome | undefined;
+  /** The number of dependencies that are not known to be done. */
+  unfinished = 0;
+  isCancellationPending = false;
+
+  constructor(readonly id: string) {}
+
+  get isDone(): boolean {
+    return this.outcome?.state === 'done';
+  }
+
+  get isCancelled(): boolean {
+    return this.isCancellationPending || this.outcome?.state === 'cancelled';
+  }
+}
 
 /**
  * The dependencies among live jobs that this controller knows: a graph with an edge from each live job to each of its
  * dependencies, and the outcomes of dependencies that were read from the key-value store. It is updated incrementally as
- * jobs are added and removed, without recursion, because chains may be thousands of jobs long.
+ * jobs are added and removed, without recursion, because chains may be thousands of jobs long. Each id is kept once, in
+ * the job's node; an edge is a number at either end, ten bytes in all.
  */
 export class JobGraph {
-  readonly #dependencies = new Map<string, readonly string[]>();
-  readonly #dependents = new Map<string, Set<string>>();
-  readonly #outcomes = new Map<string, DependencyOutcome>();
-  /** The number of dependencies of each job that are not known to be done. */
-  readonly #unfinishedCounts = new Map<string, number>();
+  readonly #numbers = new Map<string, number>();
+  /** The nodes by number; a number whose node was removed is used again. */
+  readonly #nodes: (JobNode | undefined)[] = [];
+  readonly #freeNumbers: number[] = [];
   /** Live jobs that depend on a cancelled job, directly or indirectly. */
   readonly #pendingCancellations = new Set<string>();
   #version = 0;
@@ -37,42 +60,34 @@
 
   /** Whether the job is live and has dependencies. */
   has(job: string): boolean {
-    return this.#dependencies.has(job);
+    return this.#find(job)?.dependencies !== undefined;
   }
 
   /** Whether a live job depends on the job. */
   isDependency(job: string): boolean {
-    return this.#dependents.has(job);
-  }
-
-  /** Live jobs that have dependencies. */
-  jobs(): Iterable<string> {
-    return this.#dependencies.keys();
+    return (this.#find(job)?.dependents.length ?? 0) > 0;
   }
 
   /** The jobs that the job depends on directly. */
-  dependenciesOf(job: string): readonly string[] {
-    return this.#dependencies.get(job) ?? NO_JOBS;
+  *dependenciesOf(job: string): Iterable<string> {
+    for (const dependency of this.#dependenciesOf(this.#find(job))) yield dependency.id;
   }
 
-  /** The live jobs that depend on the job directly. */
-  dependentsOf(job: string): Iterable<string> {
-    return this.#dependents.get(job) ?? NO_JOBS;
-  }
-
-  /** Jobs that live jobs depend on, whether live or ended. */
-  dependencies(): Iterable<string> {
-    return this.#dependents.keys();
+  /** The jobs that the job depends on directly and that are not known to be done. */
+  *unfinishedDependenciesOf(job: string): Iterable<string> {
+    for (const dependency of this.#dependenciesOf(this.#find(job)))
+      if (!dependency.isDone) yield dependency.id;
   }
 
   /** The outcome of a dependency; undefined while it is unknown. */
   outcome(job: string): DependencyOutcome | undefined {
-    return this.#outcomes.get(job);
+    return this.#find(job)?.outcome;
   }
 
   /** Whether every dependency of the job is known to be done. Once true it stays true. */
   isReady(job: string): boolean {
-    return this.#unfinishedCounts.get(job) === 0;
+    const node = this.#find(job);
+    return node?.dependencies !== undefined && node.unfinished === 0;
   }
 
   /** Whether the job is to be cancelled because a job that it depends on is cancelled. */
@@ -81,82 +96,70 @@
   }
 
   /** Adds a live job and its dependencies. */
-  add(job: string, dependencies: readonly string[]): void {
-    if (this.#dependencies.has(job)) return;
-    const distinct = [...new Set(dependencies)];
-    this.#dependencies.set(job, distinct);
-    for (const dependency of distinct) {
-      const dependents = this.#dependents.get(dependency) ?? new Set<string>();
-      this.#dependents.set(dependency, dependents.add(job));
+  add(job: string, dependencies: Iterable<string>): void {
+    if (this.has(job)) return;
+    const number = this.#numberOf(job);
+    const node = this.#node(number);
+    node.dependencies = Uint32Array.from(new Set(dependencies), (dependency) => this.#numberOf(dependency));
+    node.unfinished = 0;
+    let hasCancelledDependency = false;
+    for (const dependency of this.#dependenciesOf(node)) {
+      dependency.dependents.push(number);
+      if (!dependency.isDone) node.unfinished += 1;
+      if (dependency.isCancelled) hasCancelledDependency = true;
     }
-    this.#unfinishedCounts.set(job, distinct.filter((dependency) => !this.#isDone(dependency)).length);
     this.#version += 1;
-    if (distinct.some((dependency) => this.#isCancelled(dependency))) this.#markForCancellation([job]);
-  }
-
-  #isDone(job: string): boolean {
-    return this.#outcomes.get(job)?.state === 'done';
-  }
-
-  #isCancelled(job: string): boolean {
-    return this.#pendingCancellations.has(job) || this.#outcomes.get(job)?.state === 'cancelled';
+    if (hasCancelledDependency) this.#markForCancellation([number]);
   }
 
   /** Removes a job that is no longer live. */
   remove(job: string): void {
-    const dependencies = this.#dependencies.get(job);
-    if (!dependencies) return;
-    this.#dependencies.delete(job);
-    this.#unfinishedCounts.delete(job);
+    const number = this.#numbers.get(job);
+    const node = this.#find(job);
+    if (number === undefined || !node?.dependencies) return;
+    const { dependencies } = node;
+    node.dependencies = undefined;
+    node.isCancellationPending = false;
     this.#pendingCancellations.delete(job);
-    for (const dependency of dependencies) this.#removeEdge(dependency, job);
+    for (const dependency of dependencies) this.#removeEdge(dependency, number);
+    this.#removeUnused(number);
     this.#version += 1;
   }
 
-  #removeEdge(dependency: string, job: string): void {
-    const dependents = this.#dependents.get(dependency);
-    dependents?.delete(job);
-    if (dependents?.size !== 0) return;
-    this.#dependents.delete(dependency);
-    this.#outcomes.delete(dependency);
+  #removeEdge(dependency: number, dependent: number): void {
+    const node = this.#node(dependency);
+    node.dependents.remove(dependent);
+    if (node.dependents.length > 0) return;
+    node.outcome = undefined;
+    this.#removeUnused(dependency);
   }
 
   /** Sets the outcome of a dependency, as stored in the key-value store. Returns the jobs that became ready. */
   setOutcome(job: string, outcome: DependencyOutcome): string[] {
-    const dependents = this.#dependents.get(job);
-    if (!dependents || this.#outcomes.has(job)) return [];
-    this.#outcomes.set(job, outcome);
+    const node = this.#find(job);
+    if (!node || node.dependents.length === 0 || node.outcome) return [];
+    node.outcome = outcome;
     if (outcome.state === 'cancelled') {
-      this.#markForCancellation(dependents);
+      this.#markForCancellation(node.dependents.items);
       return [];
     }
     const ready: string[] = [];
-    for (const dependent of dependents) {
-      const unfinished = (this.#unfinishedCounts.get(dependent) ?? 0) - 1;
-      this.#unfinishedCounts.set(dependent, unfinished);
-      if (unfinished === 0) ready.push(dependent);
+    for (const dependent of this.#nodesOf(node.dependents.items)) {
+      dependent.unfinished -= 1;
+      if (dependent.unfinished === 0) ready.push(dependent.id);
     }
     return ready;
   }
 
-  /** Adds jobs, and all their direct and indirect dependents, to the pending cancellations. */
-  #markForCancellation(jobs: Iterable<string>): void {
-    const unvisited = [...jobs];
-    for (let job = unvisited.pop(); job !== undefined; job = unvisited.pop()) {
-      if (this.#pendingCancellations.has(job)) continue;
-      this.#pendingCancellations.add(job);
-      unvisited.push(...this.dependentsOf(job));
-    }
-  }
-
   /** All direct and indirect dependencies of the job that are not known to be done. */
   unfinishedAncestors(job: string): Set<string> {
     const ancestors = new Set<string>();
-    const unvisited = [...this.dependenciesOf(job)];
+    const unvisited = [...this.unfinishedDependenciesOf(job)];
     for (let next = unvisited.pop(); next !== undefined; next = unvisited.pop()) {
-      if (ancestors.has(next) || this.#isDone(next)) continue;
+      if (ancestors.has(next)) continue;
       ancestors.add(next);
-      unvisited.push(...this.dependenciesOf(next));
+      for (const dependency of this.unfinishedDependenciesOf(next))
+        if (!ancestors.has(dependency)) unvisited.push(dependency);
     }
     return ancestors;
   }
@@ -164,10 +167,85 @@
   /** Wall-clock time at which the last dependency ended; undefined if no end time is known. */
   lastDependencyEndedAt(job: string): number | undefined {
     let last: number | undefined;
-    for (const dependency of this.dependenciesOf(job)) {
-      const endedAt = this.#outcomes.get(dependency)?.endedAt;
+    for (const { outcome } of this.#dependenciesOf(this.#find(job))) {
+      const endedAt = outcome?.endedAt;
       if (endedAt !== undefined) last = Math.max(last ?? endedAt, endedAt);
     }
     return last;
   }
+
+  /** All jobs of the graph by number, with gaps: live jobs with dependencies, and jobs that they depend on. */
+  *jobs(): Iterable<[number, string]> {
+    for (const [number, node] of this.#nodes.entries()) if (node) yield [number, node.id];
+  }
+
+  /** The numbers of the jobs of the graph, each job after all those that depend on it. */
+  *dependentsFirst(): Iterable<number> {
+    const pendingDependents = Uint32Array.from(this.#nodes, (node) => node?.dependents.length ?? 0);
+    const next: number[] = [];
+    for (const [number] of this.jobs()) if (pendingDependents[number] === 0) next.push(number);
+    for (let number = next.pop(); number !== undefined; number = next.pop()) {
+      yield number;
+      for (const dependency of this.dependencyNumbers(number)) {
+        const pending = (pendingDependents[dependency] ?? 0) - 1;
+        pendingDependents[dependency] = pending;
+        if (pending === 0) next.push(dependency);
+      }
+    }
+  }
+
+  /** The numbers of the jobs that the job with this number depends on directly. */
+  dependencyNumbers(number: number): Uint32Array {
+    return this.#nodes[number]?.dependencies ?? NO_NODES;
+  }
+
+  /** Adds jobs, and all their direct and indirect dependents, to the pending cancellations. */
+  #markForCancellation(jobs: Iterable<number>): void {
+    const unvisited = [...jobs];
+    for (let next = unvisited.pop(); next !== undefined; next = unvisited.pop()) {
+      const node = this.#node(next);
+      if (node.isCancellationPending) continue;
+      node.isCancellationPending = true;
+      this.#pendingCancellations.add(node.id);
+      for (const dependent of node.dependents.items)
+        if (!this.#node(dependent).isCancellationPending) unvisited.push(dependent);
+    }
+  }
+
+  #find(job: string): JobNode | undefined {
+    const number = this.#numbers.get(job);
+    return number === undefined ? undefined : this.#nodes[number];
+  }
+
+  #node(number: number): JobNode {
+    const node = this.#nodes[number];
+    if (!node) throw new Error(`the job graph has no node ${number}`);
+    return node;
+  }
+
+  #nodesOf(numbers: Uint32Array): JobNode[] {
+    return Array.from(numbers, (number) => this.#node(number));
+  }
+
+  *#dependenciesOf(node: JobNode | undefined): Iterable<JobNode> {
+    for (const number of node?.dependencies ?? NO_NODES) yield this.#node(number);
+  }
+
+  /** The number of the job's node, which is created if there is none. */
+  #numberOf(job: string): number {
+    const existing = this.#numbers.get(job);
+    if (existing !== undefined) return existing;
+    const number = this.#freeNumbers.pop() ?? this.#nodes.length;
+    this.#nodes[number] = new JobNode(job);
+    this.#numbers.set(job, number);
+    return number;
+  }
+
+  #removeUnused(number: number): void {
+    const node = this.#node(number);
+    if (node.dependencies || node.dependents.length > 0) return;
+    this.#nodes[number] = undefined;
+    this.#numbers.delete(node.id);
+    this.#freeNumbers.push(number);
+  }
 }
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -6,6 +6,7 @@
 import type { DependencyTracker } from './dependency-tracker';
 import { JobAcceptance, type Acceptance, type JobAcceptanceContext } from './job-acceptance';
 import { KEY, read, type FinalRecord } from './records';
+import { MAX_LISTED_DEPENDENCIES } from '../protocol/users';
 
 /** The services and limits that `JobStore` uses. */
 export interface JobStoreContext extends JobAcceptanceContext {
@@ -51,7 +52,10 @@
     // The leader or another request may have cancelled the job meanwhile.
     const final = dependencies.graph.has(id) ? undefined : await this.#findFinal(id);
     if (final) return final;
-    return { ...status, unfinishedDependencies: dependencies.unfinishedDependencies(id) };
+    return {
+      ...status,
+      unfinishedDependencies: dependencies.unfinishedDependencies(id, MAX_LISTED_DEPENDENCIES),
+    };
   }
 
   /** Applies the live record to the watch cache if the job has dependencies; returns whether it has any. */
--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -4,7 +4,7 @@
 import { eventOfEntry } from './change-events';
 import { DeletionLog, type Deletion } from './deletion-log';
 
-/** Called with a change, and the previous value of the key. */
+/** Called with a change, and what the cache kept of the previous value of the key. */
 type Listener = (event: ChangeEvent, previousValue: unknown) => void;
 
 /** The services and settings that a watch cache uses. */
@@ -17,6 +17,8 @@
   readonly waitMs: number;
   /** Minimum time between the starts of two watch requests; notifications by peers bring changes sooner. */
   readonly minWatchIntervalMs: number;
+  /** What the cache keeps of a value; listeners get all of it. By default the whole value is kept. */
+  readonly valueToKeep?: (key: string, value: unknown) => unknown;
 }
 
 /** Caches all live records, and keeps the cache up to date with one watch request after another. */
@@ -165,7 +167,9 @@
       this.#entries.delete(key);
       this.#entriesOf(kind).delete(key);
     } else {
-      const entry = { key, value: event.value, version: event.version };
+      const { valueToKeep } = this.context;
+      const value = valueToKeep ? valueToKeep(key, event.value) : event.value;
+      const entry = { key, value, version: event.version };
       this.#entries.set(key, entry);
       this.#entriesOf(kind).set(key, entry);
     }
--- a/src/coordination/controller-services.ts
+++ b/src/coordination/controller-services.ts
@@ -7,6 +7,7 @@
 import type { Settings } from '../base/settings';
 import { maxChangesPerTransaction, maxValueBytes } from '../base/state-limits';
 import { OPEN_ADMISSION } from '../bookkeeping/admission-policy';
+import { withoutDependencies } from '../bookkeeping/dependency-records';
 import { DependencyTracker } from '../bookkeeping/dependency-tracker';
 import { DependentCancellation } from '../bookkeeping/dependent-cancellation';
 import { EndedJobs } from '../bookkeeping/ended-jobs';
@@ -77,6 +78,7 @@
     clock,
     waitMs: shardLeaseMs / WATCHES_PER_LEASE,
     minWatchIntervalMs: throttling.watchPaceMs,
+    valueToKeep: withoutDependencies,
   });
 }
 
--- a/src/coordination/ownership/record-garbage-collector.ts
+++ b/src/coordination/ownership/record-garbage-collector.ts
@@ -1,7 +1,7 @@
 /** @file Deletion of records that ended jobs left behind; the leader's duty. */
 import { maxChangesPerTransaction } from '../../base/state-limits';
 import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../../bookkeeping/completion-records';
-import { jobOfDependencyPartKey } from '../../bookkeeping/dependency-records';
+import { jobOfDependencyPartKey } from '../../bookkeeping/dependency-parts';
 import { KEY, PREFIX } from '../../bookkeeping/records';
 import type { ControllerContext } from '../controller-context';
 
--- a/src/coordination/scheduling/chain-urgency.ts
+++ b/src/coordination/scheduling/chain-urgency.ts
@@ -31,60 +31,43 @@
   const isHigher = PRIORITY_RANK[dependent.priority] < PRIORITY_RANK[own.priority];
   const latestStartAt =
     dependent.latestFinishAt === undefined ? undefined : dependent.latestFinishAt - dependentRunMs;
-  return {
-    priority: isHigher ? dependent.priority : own.priority,
-    latestFinishAt: earlier(own.latestFinishAt, latestStartAt),
-  };
-}
-
-function decrement(counts: Map<string, number>, id: string): number {
-  const count = (counts.get(id) ?? 0) - 1;
-  counts.set(id, count);
-  return count;
-}
-
-/** Describes each live job of the graph; `describe` returns undefined for jobs that are not live. */
-function describeJobs(
-  graph: JobGraph,
-  describe: (id: string) => ChainJob | undefined,
-): Map<string, ChainJob> {
-  const jobs = new Map<string, ChainJob>();
-  for (const id of new Set([...graph.jobs(), ...graph.dependencies()])) {
-    const job = describe(id);
-    if (job) jobs.set(id, job);
-  }
-  return jobs;
+  const latestFinishAt = earlier(own.latestFinishAt, latestStartAt);
+  // Most of many dependents change nothing, so that one object serves many of them.
+  if (!isHigher && latestFinishAt === own.latestFinishAt) return own;
+  return { priority: isHigher ? dependent.priority : own.priority, latestFinishAt };
 }
 
 /**
  * Propagates priorities and deadlines from each job to its dependencies. It iterates in reverse topological order, so
- * chains of any length need no recursion. The result contains the live jobs that have dependents.
+ * chains of any length need no recursion. The result contains the live jobs that have dependents; `describe` returns
+ * undefined for jobs that are not live.
  */
 export function chainUrgencies(
   graph: JobGraph,
   describe: (id: string) => ChainJob | undefined,
 ): Map<string, Urgency> {
-  const jobs = describeJobs(graph, describe);
-  const urgencies = new Map<string, Urgency>();
-  const pendingDependents = new Map<string, number>();
-  const ready: string[] = [];
-  for (const [id, job] of jobs) {
-    urgencies.set(id, { priority: job.priority, latestFinishAt: job.dueAt });
-    const dependents = [...graph.dependentsOf(id)].length;
-    pendingDependents.set(id, dependents);
-    if (dependents === 0) ready.push(id);
+  const urgencies: (Urgency | undefined)[] = [];
+  const expectedRunsMs: number[] = [];
+  for (const [number, id] of graph.jobs()) {
+    const job = describe(id);
+    if (!job) continue;
+    urgencies[number] = { priority: job.priority, latestFinishAt: job.dueAt };
+    expectedRunsMs[number] = job.expectedRunMs;
   }
-  for (let id = ready.pop(); id !== undefined; id = ready.pop()) {
-    const dependent = urgencies.get(id);
-    const expectedRunMs = jobs.get(id)?.expectedRunMs ?? 0;
-    for (const dependency of graph.dependenciesOf(id)) {
-      const own = urgencies.get(dependency);
-      if (dependent && own) urgencies.set(dependency, inheritUrgency(own, dependent, expectedRunMs));
-      if (decrement(pendingDependents, dependency) === 0) ready.push(dependency);
+  for (const number of graph.dependentsFirst()) {
+    const dependent = urgencies[number];
+    if (!dependent) continue;
+    for (const dependency of graph.dependencyNumbers(number)) {
+      const own = urgencies[dependency];
+      if (own) urgencies[dependency] = inheritUrgency(own, dependent, expectedRunsMs[number] ?? 0);
     }
   }
-  for (const id of graph.jobs()) if (!graph.isDependency(id)) urgencies.delete(id);
-  return urgencies;
+  const inherited = new Map<string, Urgency>();
+  for (const [number, id] of graph.jobs()) {
+    const own = urgencies[number];
+    if (own && graph.isDependency(id)) inherited.set(id, own);
+  }
+  return inherited;
 }
 
 /** Caches the urgencies of jobs, and recomputes them only after the job graph has changed. */
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -8,7 +8,7 @@
 /** The maximum number of machine types that a job may name. */
 const MAX_TYPES = 1_000;
 /** A status lists at most this many unfinished dependencies. */
-const MAX_LISTED_DEPENDENCIES = 100;
+export const MAX_LISTED_DEPENDENCIES = 100;
 
 /** The form of a job id. */
 export const JOB_ID = /^req-[0-9]{1,32}$/;
