Count the memory of accepted work, and accept only what every controller can hold

Accepted work took memory that nothing counted, so that some number of jobs of any shape still ended every controller, and each next one.

Every controller adds them up from the same records; a submission that would exceed the part of the heap for records gets 503 with Retry-After before anything is written for it. The `usage` line has the sum and the limit (`recordsMb`, `recordsLimitMb`).

The fake store keeps to the protocol's 512 KiB for a page of entries, which it did not: with larger pages a controller that started never loaded its records.

--- a/src/bookkeeping/dependency-tracker.ts
+++ b/src/bookkeeping/dependency-tracker.ts
@@ -65,7 +65,7 @@
 
   /** Whether a dependency is live in the watch cache. If so, no owner with this cache or an older one started the job. */
   hasLiveDependency(id: string): boolean {
-    for (const dependency of this.graph.dependenciesOf(id)) {
+    for (const dependency of this.graph.unfinishedDependenciesOf(id)) {
       if (this.cache.get(KEY.job(dependency))) return true;
     }
     return false;
--- a/src/bookkeeping/job-acceptance.ts
+++ b/src/bookkeeping/job-acceptance.ts
@@ -14,6 +14,7 @@
 import type { FinalStates } from './final-states';
 import type { FormatGate } from './format-gate';
 import { unendedJobConditions } from './job-conditions';
+import type { RecordMemory } from './record-memory';
 import { KEY, type JobRecord } from './records';
 import { SubmittedDependencies } from './submitted-dependencies';
 import type { WatchCache } from './watch-cache';
@@ -30,6 +31,7 @@
   readonly formatGate: FormatGate;
   readonly limits: RecordLimits;
   readonly admission: AdmissionPolicy;
+  readonly memory: RecordMemory;
   /** Applies an acknowledged change to the watch cache, and notifies the peers. */
   publish(event: ChangeEvent): void;
 }
@@ -67,7 +69,7 @@
       throw error;
     }
     try {
-      if (await this.#writeIfAdmitted(job, checked)) {
+      if (await this.#writeIfItFits(job, checked)) {
         return { isNew: true, status: await this.#statusOfAccepted(checked) };
       }
     } catch (error) {
@@ -92,6 +94,16 @@
     return this.find(id).catch(() => undefined);
   }
 
+  /** Writes the job as `#writeIfAdmitted` does. Throws `SubmissionDeferredError` if controllers have no memory for it. */
+  async #writeIfItFits(job: Job, checked: Job): Promise<boolean> {
+    const endReservation = this.context.memory.reserve(checked);
+    try {
+      return await this.#writeIfAdmitted(job, checked);
+    } finally {
+      endReservation();
+    }
+  }
+
   /**
    * Writes `checked`, the same job without dependencies that are already done. True: written. False: it may have been
    * accepted before, there was no response, or all tries failed. Throws `SubmissionDeferredError` if `job` is deferred.
--- a/src/bookkeeping/job-graph.ts
+++ b/src/bookkeeping/job-graph.ts
@@ -10,6 +10,8 @@
 }
 
 const NO_NODES = new Uint32Array(0);
+/** Stands in a list of dependencies where an edge was removed. */
+const NO_NODE = 0xffffffff;
 
 /** A job of the graph: a live job with dependencies, or a dependency of one, or both. */
 class JobNode {
@@ -20,14 +22,12 @@
   outcome: DependencyOutcome | undefined;
   /** The number of dependencies that are not known to be done. */
   unfinished = 0;
+  /** Wall-clock time at which the last dependency that is known to be done ended; undefined if it is not known. */
+  lastDependencyEndedAt: number | undefined;
   isCancellationPending = false;
 
   constructor(readonly id: string) {}
 
-  get isDone(): boolean {
-    return this.outcome?.state === 'done';
-  }
-
   get isCancelled(): boolean {
     return this.isCancellationPending || this.outcome?.state === 'cancelled';
   }
@@ -35,7 +35,7 @@
 
 /**
  * The dependencies among live jobs that this controller knows: a graph with an edge from each live job to each of its
- * dependencies, and the outcomes of dependencies that were read from the key-value store. It is updated incrementally as
+ * dependencies that is not known to be done, and the outcomes of those that are cancelled. It is updated incrementally as
  * jobs are added and removed, without recursion, because chains may be thousands of jobs long. Each id is kept once, in
  * the job's node; an edge is a number at either end, ten bytes in all.
  */
@@ -68,18 +68,12 @@
     return (this.#find(job)?.dependents.length ?? 0) > 0;
   }
 
-  /** The jobs that the job depends on directly. */
-  *dependenciesOf(job: string): Iterable<string> {
-    for (const dependency of this.#dependenciesOf(this.#find(job))) yield dependency.id;
-  }
-
   /** The jobs that the job depends on directly and that are not known to be done. */
   *unfinishedDependenciesOf(job: string): Iterable<string> {
-    for (const dependency of this.#dependenciesOf(this.#find(job)))
-      if (!dependency.isDone) yield dependency.id;
+    for (const dependency of this.#dependenciesOf(this.#find(job))) yield dependency.id;
   }
 
-  /** The outcome of a dependency; undefined while it is unknown. */
+  /** The outcome of a dependency that is not done; undefined while it is unknown. */
   outcome(job: string): DependencyOutcome | undefined {
     return this.#find(job)?.outcome;
   }
@@ -101,11 +95,10 @@
     const number = this.#numberOf(job);
     const node = this.#node(number);
     node.dependencies = Uint32Array.from(new Set(dependencies), (dependency) => this.#numberOf(dependency));
-    node.unfinished = 0;
+    node.unfinished = node.dependencies.length;
     let hasCancelledDependency = false;
     for (const dependency of this.#dependenciesOf(node)) {
       dependency.dependents.push(number);
-      if (!dependency.isDone) node.unfinished += 1;
       if (dependency.isCancelled) hasCancelledDependency = true;
     }
     this.#version += 1;
@@ -121,36 +114,51 @@
     node.dependencies = undefined;
     node.isCancellationPending = false;
     this.#pendingCancellations.delete(job);
-    for (const dependency of dependencies) this.#removeEdge(dependency, number);
+    for (const dependency of dependencies) if (dependency !== NO_NODE) this.#removeEdge(dependency, number);
     this.#removeUnused(number);
     this.#version += 1;
   }
 
   #removeEdge(dependency: number, dependent: number): void {
-    const node = this.#node(dependency);
-    node.dependents.remove(dependent);
-    if (node.dependents.length > 0) return;
+    const node = this.#nodes[dependency];
+    node?.dependents.remove(dependent);
+    if (!node || node.dependents.length > 0) return;
     node.outcome = undefined;
     this.#removeUnused(dependency);
   }
 
   /** Sets the outcome of a dependency, as stored in the key-value store. Returns the jobs that became ready. */
   setOutcome(job: string, outcome: DependencyOutcome): string[] {
+    const dependency = this.#numbers.get(job);
     const node = this.#find(job);
-    if (!node || node.dependents.length === 0 || node.outcome) return [];
-    node.outcome = outcome;
+    if (dependency === undefined || !node || node.dependents.length === 0 || node.outcome) return [];
     if (outcome.state === 'cancelled') {
+      node.outcome = outcome;
       this.#markForCancellation(node.dependents.items);
       return [];
     }
     const ready: string[] = [];
-    for (const dependent of this.#nodesOf(node.dependents.items)) {
-      dependent.unfinished -= 1;
-      if (dependent.unfinished === 0) ready.push(dependent.id);
+    for (const number of node.dependents.items) {
+      const dependent = this.#node(number);
+      if (this.#endEdge(dependent, dependency, outcome)) ready.push(dependent.id);
     }
+    node.dependents.clear();
+    this.#removeUnused(dependency);
     return ready;
   }
 
+  /** Removes a done dependency from the job's list; returns whether it was the last one. */
+  #endEdge(dependent: JobNode, dependency: number, { endedAt }: DependencyOutcome): boolean {
+    const index = dependent.dependencies?.indexOf(dependency) ?? -1;
+    if (index < 0 || !dependent.dependencies) return false;
+    dependent.dependencies[index] = NO_NODE;
+    dependent.unfinished -= 1;
+    if (endedAt !== undefined) {
+      dependent.lastDependencyEndedAt = Math.max(dependent.lastDependencyEndedAt ?? endedAt, endedAt);
+    }
+    return dependent.unfinished === 0;
+  }
+
   /** All direct and indirect dependencies of the job that are not known to be done. */
   unfinishedAncestors(job: string): Set<string> {
     const ancestors = new Set<string>();
@@ -166,12 +174,7 @@
 
   /** Wall-clock time at which the last dependency ended; undefined if no end time is known. */
   lastDependencyEndedAt(job: string): number | undefined {
-    let last: number | undefined;
-    for (const { outcome } of this.#dependenciesOf(this.#find(job))) {
-      const endedAt = outcome?.endedAt;
-      if (endedAt !== undefined) last = Math.max(last ?? endedAt, endedAt);
-    }
-    return last;
+    return this.#find(job)?.lastDependencyEndedAt;
   }
 
   /** All jobs of the graph by number, with gaps: live jobs with dependencies, and jobs that they depend on. */
@@ -194,9 +197,10 @@
     }
   }
 
-  /** The numbers of the jobs that the job with this number depends on directly. */
-  dependencyNumbers(number: number): Uint32Array {
-    return this.#nodes[number]?.dependencies ?? NO_NODES;
+  /** The numbers of the jobs that the job with this number depends on directly and that are not known to be done. */
+  *dependencyNumbers(number: number): Iterable<number> {
+    for (const dependency of this.#nodes[number]?.dependencies ?? NO_NODES)
+      if (dependency !== NO_NODE) yield dependency;
   }
 
   /** Adds jobs, and all their direct and indirect dependents, to the pending cancellations. */
@@ -223,12 +227,8 @@
     return node;
   }
 
-  #nodesOf(numbers: Uint32Array): JobNode[] {
-    return Array.from(numbers, (number) => this.#node(number));
-  }
-
   *#dependenciesOf(node: JobNode | undefined): Iterable<JobNode> {
-    for (const number of node?.dependencies ?? NO_NODES) yield this.#node(number);
+    for (const number of node?.dependencies ?? NO_NODES) if (number !== NO_NODE) yield this.#node(number);
   }
 
   /** The number of the job's node, which is created if there is none. */
@@ -242,8 +242,8 @@
   }
 
   #removeUnused(number: number): void {
-    const node = this.#node(number);
-    if (node.dependencies || node.dependents.length > 0) return;
+    const node = this.#nodes[number];
+    if (!node || node.dependencies || node.dependents.length > 0) return;
     this.#nodes[number] = undefined;
     this.#numbers.delete(node.id);
     this.#freeNumbers.push(number);
--- a/src/bookkeeping/number-list.ts
+++ b/src/bookkeeping/number-list.ts
@@ -34,6 +34,12 @@
     this.#items[index] = this.#items[this.#length] ?? 0;
   }
 
+  /** Removes all numbers. */
+  clear(): void {
+    this.#items = new Uint32Array(0);
+    this.#length = 0;
+  }
+
   #grow(): void {
     const capacity = this.#length + Math.max(MIN_CAPACITY, Math.floor(this.#length / GROWTH_DIVISOR));
     const grown = new Uint32Array(capacity);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,6 +1,7 @@
 /** @file Runs a controller: its connections, its HTTP server and its log. */
 import { createRequire } from 'node:module';
 import { join } from 'node:path';
+import { getHeapStatistics } from 'node:v8';
 import type { FastifyInstance } from 'fastify';
 import { readAdmissionOptions } from '../admission/options';
 import { systemClock } from '../base/clock';
@@ -127,6 +128,7 @@
   const { external } = settings.sockets;
   return {
     clock: systemClock,
+    heapLimitBytes: getHeapStatistics().heap_size_limit,
     // The system's clock counts from the start of the process.
     startedAt: 0,
     random: systemRandom,
--- a/src/cli/usage.ts
+++ b/src/cli/usage.ts
@@ -22,6 +22,8 @@
     memoryMb: Math.round(rss / BYTES_PER_MB),
     heapMb: Math.round(heapUsed / BYTES_PER_MB),
     heapLimitMb: Math.round(getHeapStatistics().heap_size_limit / BYTES_PER_MB),
+    recordsMb: Math.round(controller.memory.usedBytes / BYTES_PER_MB),
+    recordsLimitMb: Math.round(controller.memory.limitBytes / BYTES_PER_MB),
     connections: connections.size,
     workers: connections.workers,
     lateMs: Math.round(controller.eventLoopDelay.delayMs),
--- a/src/coordination/controller-context.ts
+++ b/src/coordination/controller-context.ts
@@ -9,6 +9,7 @@
 import type { DependencyTracker } from '../bookkeeping/dependency-tracker';
 import type { EndedJobs } from '../bookkeeping/ended-jobs';
 import type { JobStore } from '../bookkeeping/job-store';
+import type { RecordMemory } from '../bookkeeping/record-memory';
 import type { Session } from '../bookkeeping/session';
 import type { WatchCache } from '../bookkeeping/watch-cache';
 import type { ChainUrgency } from './scheduling/chain-urgency';
@@ -30,6 +31,8 @@
   readonly eventLoopDelay: EventLoopDelay;
   readonly store: KeyValueStore;
   readonly cache: WatchCache;
+  /** The memory that the records of the watch cache take. */
+  readonly memory: RecordMemory;
   readonly formatGate: FormatGate;
   readonly session: Session;
   readonly jobs: JobStore;
--- a/src/coordination/controller-services.ts
+++ b/src/coordination/controller-services.ts
@@ -15,6 +15,7 @@
 import { FormatGate } from '../bookkeeping/format-gate';
 import { JobGraph } from '../bookkeeping/job-graph';
 import { JobStore, type JobStoreContext } from '../bookkeeping/job-store';
+import { RecordMemory } from '../bookkeeping/record-memory';
 import { LIVE_PREFIX } from '../bookkeeping/records';
 import { Session } from '../bookkeeping/session';
 import { WatchCache } from '../bookkeeping/watch-cache';
@@ -171,6 +172,7 @@
   readonly store: KeyValueStore;
   readonly cache: WatchCache;
   readonly session: Session;
+  readonly memory: RecordMemory;
   readonly formatGate: FormatGate;
   readonly publish: ControllerContext['publish'];
 }
@@ -184,6 +186,7 @@
   return {
     store,
     cache,
+    memory: new RecordMemory(cache, environment.heapLimitBytes),
     session: createSession(settings, environment, store, cache),
     formatGate: createFormatGate(settings, environment, store, cache),
     publish: (event) => {
@@ -201,11 +204,11 @@
 ): ControllerServices {
   const { clock, log, refusedMessages, workers, random } = environment;
   const records = createRecordServices(settings, environment, store);
-  const { cache, formatGate, publish } = records;
+  const { cache, memory, formatGate, publish } = records;
   const finals = new FinalStates(store, formatGate);
   const { endedJobs, dependencies } = createJobTracking(settings, cache, finals, clock);
   const admission = readAdmissionOptions(settings);
-  const jobServices = { store, cache, clock, dependencies, publish, finals, formatGate, log };
+  const jobServices = { store, cache, clock, dependencies, publish, finals, formatGate, memory, log };
   const jobs = createJobStore(settings, admission, jobServices);
   const cloud = createCloud(settings, environment);
   const machineTypes = new MachineTypes({ settings, clock, cache, store, formatGate, cloud });
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -3,6 +3,7 @@
 import { describeError } from '../base/loop';
 import type { RefusedMessages } from '../base/refused-messages';
 import type { Settings } from '../base/settings';
+import type { RecordMemory } from '../bookkeeping/record-memory';
 import type { JobStore } from '../bookkeeping/job-store';
 import type { KeyValueStore } from '../protocol/key-value-store';
 import type { JobStatus, MachineType, WorkerHeartbeat } from '../protocol/model';
@@ -73,6 +74,11 @@
     return this.#components.readiness.isReady;
   }
 
+  /** The memory that live records take, and its limit. */
+  get memory(): RecordMemory {
+    return this.#components.context.memory;
+  }
+
   /** The event-loop delay of this process, which decides what work to shed. */
   get eventLoopDelay(): EventLoopDelay {
     return this.#components.context.eventLoopDelay;
--- a/src/coordination/environment.ts
+++ b/src/coordination/environment.ts
@@ -11,6 +11,8 @@
   /** Monotonic time at which this process started, in milliseconds. */
   startedAt: number;
   random: Random;
+  /** The size that the heap of this process may have, in bytes. */
+  heapLimitBytes: number;
   log: Log;
   /** Counts the messages that this process refuses. */
   refusedMessages: RefusedMessages;
--- a/src/coordination/shard/image-cache.ts
+++ b/src/coordination/shard/image-cache.ts
@@ -1,5 +1,8 @@
 /** @file The owner's estimate of which images a machine has cached. */
 
+/** The most images of which a machine's cache is modelled: images may have no size, so that any number would fit. */
+const MAX_IMAGES = 100;
+
 /** Models the image cache of a worker: LRU eviction, with the cache size of the machine's type. */
 export class ImageCache {
   readonly #sizesGb = new Map<string, number>();
@@ -18,7 +21,8 @@
     let total = 0;
     for (const size of this.#sizesGb.values()) total += size;
     for (const [oldest, size] of this.#sizesGb) {
-      if (total <= this.capacityGb || oldest === image) break;
+      const fits = total <= this.capacityGb && this.#sizesGb.size <= MAX_IMAGES;
+      if (fits || oldest === image) break;
       this.#sizesGb.delete(oldest);
       total -= size;
     }
--- a/src/coordination/shard/job-failures.ts
+++ b/src/coordination/shard/job-failures.ts
@@ -12,6 +12,8 @@
  * which there is no other machine would otherwise never continue.
  */
 const AVOID_MACHINE_MS = 60_000;
+/** The most machines on which failures of one job are remembered, the latest ones. */
+const MAX_MACHINES = 200;
 const NONE: ReadonlySet<string> = new Set();
 
 /** Tracks the failures of a job's tasks since one last succeeded, to determine its pauses and machines to avoid. */
@@ -22,7 +24,10 @@
 
   /** Records the failure of a task on the machine. */
   add(machine: string, now: number): void {
+    this.#failedAt.delete(machine);
     this.#failedAt.set(machine, now);
+    const oldest = this.#failedAt.keys().next().value;
+    if (this.#failedAt.size > MAX_MACHINES && oldest !== undefined) this.#failedAt.delete(oldest);
     this.#count += 1;
   }
 
--- a/test/fakes/controller-settings.ts
+++ b/test/fakes/controller-settings.ts
@@ -26,6 +26,8 @@
   operators?: Record<string, unknown>[];
   objectives?: { kind: string; class: string }[];
   coreShare?: number;
+  /** The heap limit of each controller, in bytes. */
+  heapLimitBytes?: number;
   writeRps?: number;
   cloudRps?: number;
   /** Seconds between two heartbeats of a worker. */
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -97,6 +97,7 @@
     return {
       clock: process,
       startedAt: this.clock.now(),
+      heapLimitBytes: this.options.heapLimitBytes ?? Infinity,
       random: {
         uniqueName: (): string => {
           this.#nameCount += 1;
--- a/test/fakes/key-value-store.ts
+++ b/test/fakes/key-value-store.ts
@@ -31,6 +31,9 @@
 /** Fixed limits of the protocol: bytes of a transaction, and its conditions per allowed change. */
 const MAX_TXN_BYTES = 64 * 1024;
 const GUARDS_PER_CHANGE = 4;
+/** Fixed limits of the protocol on a page of entries: their number, and bytes of JSON text without the text around them. */
+const MAX_PAGE_ENTRIES = 1_000;
+const MAX_PAGE_BYTES = 512 * 1024 - 1_024;
 
 /**
  * A fault of a request. `lateMs`: it gets no response and is executed only after this time, after newer requests.
@@ -144,8 +147,16 @@
     const since = params.get('since') ?? '';
     const limit = Number(params.get('limit') ?? 1000);
     const keys = [...this.data.keys()].filter((k) => k.startsWith(prefix) && k > since).sort();
-    const entries = keys.slice(0, limit).map((path) => ({ path, ...this.data.get(path) }));
-    return { status: 200, body: { entries, hasNext: keys.length > limit, ledger: this.revision } };
+    const entries: object[] = [];
+    let bytes = 0;
+    for (const path of keys.slice(0, Math.min(limit, MAX_PAGE_ENTRIES))) {
+      const entry = { path, ...this.data.get(path) };
+      bytes += jsonBytes(entry) + 1;
+      if (bytes > MAX_PAGE_BYTES) break;
+      entries.push(entry);
+    }
+    const hasNext = keys.length > entries.length;
+    return { status: 200, body: { entries, hasNext, ledger: this.revision } };
   }
 
   #change(apply: Txn['apply']): void {
