Give a machine no more tasks than its report has room for, and an owner no more attempts than it can hold

Cause: placement counted resources only. A machine got a thousand tasks and more, which the owner also keeps as objects: attempts were the largest part of accepted work that nothing counted.

Change: a machine has at most 400 tasks, exited ones included, with which the longest report fits 64 KiB; placement and the plan of a scale-out count them. An owner places no more tasks than its heap has room for beside the records, and doesn't rent machines for the others, which wait.

The new tests in test/placement.test.ts: a machine gets 400 of 100,000 tasks that need nearly nothing, and a report of 400 tasks with the longest fields fits 64 KiB.

--- a/src/coordination/autoscaling/scaling-plan.ts
+++ b/src/coordination/autoscaling/scaling-plan.ts
@@ -1,5 +1,6 @@
 /** @file Plans which machines to rent for pending tasks and which idle ones to release. */
 import { subtractResources, type Job, type MachineType, type Resources } from '../../protocol/model';
+import { MAX_TASKS_PER_MACHINE } from '../../protocol/workers';
 import {
   fitsInto,
   isEligible,
@@ -85,6 +86,7 @@
 function tasksPerMachine(type: MachineType, job: Job): number {
   return Math.floor(
     Math.min(
+      MAX_TASKS_PER_MACHINE,
       type.cpus / job.cpus,
       job.memoryGb > 0 ? type.memoryGb / job.memoryGb : Infinity,
       job.gpus > 0 ? type.gpus / job.gpus : Infinity,
@@ -106,6 +108,7 @@
 interface Bin {
   readonly option: InstanceOption;
   readonly free: Resources;
+  freeTasks: number;
   readonly isNew: boolean;
 }
 
@@ -127,7 +130,7 @@
     for (const machine of input.machines) increment(this.#machinesPerZone, machine.zone);
     this.#bins = input.machines
       .filter((machine) => machine.isBooting)
-      .map((machine) => ({ option: machine, free: totalResources(machine.type), isNew: false }));
+      .map((machine) => createBin(machine, false));
     this.#freeingCpus = input.freeingCpus;
   }
 
@@ -149,6 +152,7 @@
       const bin = this.#bins[index] ?? this.#addMachine(work, left, zones);
       if (!bin) break;
       subtractResources(bin.free, job);
+      bin.freeTasks -= 1;
       increment(zones, bin.option.zone);
       left -= 1;
     }
@@ -193,7 +197,8 @@
     for (; index < this.#bins.length; index += 1) {
       const bin = this.#bins[index];
       if (!bin || !isEligible(job, bin.option)) continue;
-      if (zoneConstraintsAllow(job, zones, bin.option.zone) && fitsInto(job, bin.free)) break;
+      if (!zoneConstraintsAllow(job, zones, bin.option.zone)) continue;
+      if (bin.freeTasks > 0 && fitsInto(job, bin.free)) break;
     }
     return index;
   }
@@ -204,7 +209,7 @@
     const option = cheapestOption(work, this.#options, this.input.isBackedOff, this.#machinesPerZone);
     if (!option) return undefined;
     increment(this.#machinesPerZone, option.zone);
-    const bin = { option, free: totalResources(option.type), isNew: true };
+    const bin = createBin(option, true);
     this.#bins.push(bin);
     this.#newMachines += 1;
     return bin;
@@ -215,8 +220,9 @@
   counts.set(zone, (counts.get(zone) ?? 0) + 1);
 }
 
-function totalResources({ cpus, gpus, memoryGb }: MachineType): Resources {
-  return { cpus, gpus, memoryGb };
+function createBin(option: InstanceOption, isNew: boolean): Bin {
+  const { cpus, gpus, memoryGb } = option.type;
+  return { option, free: { cpus, gpus, memoryGb }, freeTasks: MAX_TASKS_PER_MACHINE, isNew };
 }
 
 /** The option with the lowest cost per task; undefined if no option is possible at present. */
--- a/src/coordination/scheduling/constraints.ts
+++ b/src/coordination/scheduling/constraints.ts
@@ -4,6 +4,9 @@
 /** Amounts that differ by less than this count as equal, because sums of decimal fractions have rounding errors. */
 export const RESOURCE_TOLERANCE = 1e-6;
 
+/** The free resources of a machine on which no task fits, not even one that needs nearly nothing. */
+export const NO_ROOM: Readonly<Resources> = { cpus: -2 * RESOURCE_TOLERANCE, gpus: 0, memoryGb: 0 };
+
 /** The attributes of a machine, or of a kind of machine to rent, to which a job's constraints refer. */
 export interface MachineKind {
   readonly type: MachineType;
--- a/src/coordination/scheduling/machine-snapshot.ts
+++ b/src/coordination/scheduling/machine-snapshot.ts
@@ -3,12 +3,14 @@
 import { elapsedS, occupiesResources, type Attempt } from '../shard/attempt';
 import type { Machine } from '../shard/machine';
 import type { Shard } from '../shard/shard';
-import type { MachineKind } from './constraints';
+import { NO_ROOM, type MachineKind } from './constraints';
 
 /** A machine with its free resources. */
 export interface MachineSnapshot extends MachineKind {
   readonly id: string;
   readonly free: Resources;
+  /** How many more tasks the machine may have; if none, `free` is `NO_ROOM`. */
+  readonly freeTasks: number;
 }
 
 /** Takes a snapshot of the machine with its free resources, which the caller may change. */
@@ -18,7 +20,8 @@
     type: machine.type,
     zone: machine.record.zone,
     spot: machine.record.spot,
-    free: machine.freeResources(),
+    free: machine.freeTasks > 0 ? machine.freeResources() : { ...NO_ROOM },
+    freeTasks: machine.freeTasks,
   };
 }
 
--- a/src/coordination/scheduling/placement-pass.ts
+++ b/src/coordination/scheduling/placement-pass.ts
@@ -76,11 +76,19 @@
       usage: this.shard.usageByTeam(),
       boostedCpusLeft: totalCpus * this.context.settings.operator.aged_share - usage.boostedCpus,
       hasBoostedTasks: usage.boostedCpus > 0,
+      maxPlacements: this.#maxPlacements(),
       cursor: this.#cursor < queue.length ? this.#cursor : 0,
     };
   }
 
-  /** The machines with enough free CPUs for the smallest waiting task, and the CPUs of all schedulable machines. */
+  /** How many more attempts the owner has memory for. */
+  #maxPlacements(): number {
+    let attempts = 0;
+    for (const machine of this.shard.machines.values()) attempts += machine.attempts.size;
+    return Math.max(0, this.context.memory.maxAttempts - attempts);
+  }
+
+  /** The machines with room for the smallest waiting task, and the CPUs of all schedulable machines. */
   #observeMachines(
     queue: readonly QueueEntry[],
     now: number,
@@ -91,7 +99,8 @@
     const machines = snapshotSchedulable(this.shard, now, (machine) => {
       totalCpus += machine.type.cpus;
       // With boosted jobs no machine is left out, because they may have to reserve one that has no free CPUs now.
-      if (!hasBoosted && machine.freeCpus + RESOURCE_TOLERANCE < minCpus) return undefined;
+      const hasRoom = machine.freeTasks > 0 && machine.freeCpus + RESOURCE_TOLERANCE >= minCpus;
+      if (!hasBoosted && !hasRoom) return undefined;
       return this.#describeCandidate(machine, now);
     });
     return { machines, totalCpus };
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -1,6 +1,6 @@
 /** @file Placement: assigns the tasks of waiting jobs to machines. */
 import { subtractResources, type Job, type Resources } from '../../protocol/model';
-import { fitsInto, isEligible, RESOURCE_TOLERANCE, zoneConstraintsAllow } from './constraints';
+import { fitsInto, isEligible, NO_ROOM, RESOURCE_TOLERANCE, zoneConstraintsAllow } from './constraints';
 import type { QueueEntry, WaitingJob } from './job-queue';
 import type { MachineSnapshot } from './machine-snapshot';
 import { isWithinGuarantee, isWithinQuota, type TeamQuota, type TeamUsage } from './team-quota';
@@ -32,6 +32,8 @@
   readonly boostedCpusLeft: number;
   /** Whether any boosted task is on a machine. If none is, one may exceed the share of the fleet for boosted jobs. */
   readonly hasBoostedTasks: boolean;
+  /** How many tasks the round may place: as many as the owner has memory for. */
+  readonly maxPlacements: number;
   /** The index of the first queue entry to process: where the last round stopped. */
   readonly cursor: number;
 }
@@ -82,6 +84,7 @@
   readonly #usageByTeam: Map<string, { cpus: number; gpus: number }>;
   readonly #tasksPerZoneByJob = new Map<string, Map<string, number>>();
   readonly #placedByJob = new Map<string, number>();
+  readonly #placedByMachine = new Map<string, number>();
   readonly #unplaceable = new UnplaceableSizes();
   readonly #placements: Placement[] = [];
   readonly #unplaced = new Map<string, number>();
@@ -140,10 +143,16 @@
     return { waiting, job, kind, quota, usage, tasksPerZone, tasksLeft };
   }
 
+  /** Whether the round has placed as many tasks as it may. */
+  get #isFull(): boolean {
+    return this.#placements.length >= this.input.maxPlacements;
+  }
+
   /** Whether the job has a task left, and its team's limits and the kind of the queue entry allow placing a task. */
   #mayPlaceAnother({ job, kind, quota, usage, tasksLeft }: EntryState): boolean {
     return (
       tasksLeft > 0 &&
+      !this.#isFull &&
       isWithinQuota(job, usage, quota) &&
       (kind !== 'guaranteed' || isWithinGuarantee(job, usage, quota)) &&
       (kind !== 'boosted' || !this.#hasBoostedTasks || job.cpus <= this.#boostedCpusLeft)
@@ -186,6 +195,7 @@
     const { job, usage, tasksPerZone } = entryState;
     const isBoosted = entryState.kind === 'boosted';
     subtractResources(free, job);
+    this.#countTask(machine, free);
     usage.cpus += job.cpus;
     usage.gpus += job.gpus;
     if (isBoosted) this.#useBoostedShare(job);
@@ -194,6 +204,13 @@
     entryState.tasksLeft -= 1;
   }
 
+  /** Counts a placed task; a machine that has as many as it may have has no room left. */
+  #countTask({ id, freeTasks }: PlacementCandidate, free: Resources): void {
+    const placed = (this.#placedByMachine.get(id) ?? 0) + 1;
+    this.#placedByMachine.set(id, placed);
+    if (placed >= freeTasks) Object.assign(free, NO_ROOM);
+  }
+
   #useBoostedShare(job: Job): void {
     this.#boostedCpusLeft -= job.cpus;
     this.#hasBoostedTasks = true;
@@ -228,9 +245,12 @@
     return best?.id;
   }
 
-  /** Counts the tasks left as unplaced, except those beyond the team's limit: they don't wait for free resources. */
+  /**
+   * Counts the tasks left as unplaced, except those beyond the team's limit or that of the round: they don't wait for free
+   * resources.
+   */
   #countUnplaced({ job, kind, quota, usage, tasksLeft }: EntryState): void {
-    if (kind !== 'regular' || tasksLeft <= 0 || !isWithinQuota(job, usage, quota)) return;
+    if (this.#isFull || kind !== 'regular' || tasksLeft <= 0 || !isWithinQuota(job, usage, quota)) return;
     const withinLimit =
       quota.cpus_max === 0
         ? tasksLeft
--- a/src/coordination/shard/machine.ts
+++ b/src/coordination/shard/machine.ts
@@ -1,6 +1,7 @@
 /** @file One machine as the owner of its shard tracks it. */
 import type { MachineRecord } from '../../bookkeeping/records';
 import type { MachineType, Resources, WorkerHeartbeat } from '../../protocol/model';
+import { MAX_TASKS_PER_MACHINE } from '../../protocol/workers';
 import type { Attempt, AttemptChange, TaskDescription } from './attempt';
 import { FailureStreak } from './failure-streak';
 import { ImageCache } from './image-cache';
@@ -121,6 +122,11 @@
     return this.#resources.freeCpus;
   }
 
+  /** How many more tasks the machine may have. */
+  get freeTasks(): number {
+    return Math.max(0, MAX_TASKS_PER_MACHINE - this.attempts.size);
+  }
+
   /** Whether any attempt occupies resources of the machine. */
   get isBusy(): boolean {
     return this.#resources.isBusy;
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -3,6 +3,12 @@
 import type { AttemptPhase, ExitCause, ReportedAttempt, WorkerCommand, WorkerHeartbeat } from './model';
 import { listOf, machineName, parseMessage, parseValue, text, type Parsed } from './schemas';
 
+/**
+ * The most tasks on a machine, exited ones included: a report names all of them, in up to 132 bytes of JSON each, and has
+ * up to 64 KiB.
+ */
+export const MAX_TASKS_PER_MACHINE = 400;
+
 const count = z.int().min(0);
 
 /** Phases by their names on the wire. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { orderQueue } from '../src/coordination/scheduling/job-queue';
 import { placeTasks } from '../src/coordination/scheduling/placement';
+import { MAX_TASKS_PER_MACHINE } from '../src/protocol/workers';
 import { job, teamLimits, machineWithFreeCpus, waitingJob } from './scheduling-inputs';
 
 test('tasks are placed by priority, then by unmet guarantees, then by slack', () => {
@@ -23,6 +24,7 @@
       usage: new Map(),
       boostedCpusLeft: 0,
       hasBoostedTasks: false,
+      maxPlacements: Infinity,
       cursor: 0,
     },
     () => false,
@@ -60,6 +62,7 @@
       usage: new Map(),
       boostedCpusLeft: 0,
       hasBoostedTasks: false,
+      maxPlacements: Infinity,
       cursor: 0,
     },
     () => true,
@@ -74,6 +77,7 @@
       usage: new Map(),
       boostedCpusLeft: 0,
       hasBoostedTasks: false,
+      maxPlacements: Infinity,
       cursor: 1,
     },
     () => true,
@@ -89,13 +93,23 @@
   );
   const machines = Array.from({ length: 1000 }, (_, n) => machineWithFreeCpus(`m-${n}`, 4));
   const input = { queue: orderQueue(jobs, teams), machines, quotas: teams, usage: new Map<string, never>() };
-  const result = placeTasks({ ...input, boostedCpusLeft: 0, hasBoostedTasks: false, cursor: 0 }, () => false);
+  const result = placeTasks(
+    { ...input, boostedCpusLeft: 0, hasBoostedTasks: false, maxPlacements: Infinity, cursor: 0 },
+    () => false,
+  );
   assert.equal(result.placements.length, 4000);
   assert.ok(result.machinesExamined / 4000 <= 10, `${result.machinesExamined / 4000} a task`);
   // A full fleet is examined once, not again for every job.
   const full = machines.map((m) => ({ ...m, free: { cpus: 0.5, gpus: 0, memoryGb: 16 } }));
   const none = placeTasks(
-    { ...input, machines: full, boostedCpusLeft: 0, hasBoostedTasks: false, cursor: 0 },
+    {
+      ...input,
+      machines: full,
+      boostedCpusLeft: 0,
+      hasBoostedTasks: false,
+      maxPlacements: Infinity,
+      cursor: 0,
+    },
     () => false,
   );
   assert.deepEqual([none.placements.length, none.machinesExamined, none.unplaced.size], [0, 1000, 40]);
@@ -112,6 +126,7 @@
     usage: new Map<string, never>(),
     boostedCpusLeft: 4,
     hasBoostedTasks: false,
+    maxPlacements: Infinity,
     cursor: 0,
   };
   const two = placeTasks(
@@ -146,9 +161,67 @@
       machines: [machineWithFreeCpus('m', 4)],
       boostedCpusLeft: 2,
       hasBoostedTasks: false,
+      maxPlacements: Infinity,
       cursor: 0,
     },
     () => false,
   );
   assert.equal(placements[0]?.job, 'newer');
 });
+
+// Guards against reports longer than 64 KiB, which every controller refuses (review/2), and against as many attempts.
+test('a machine gets no more tasks than its report has room for, however small they are', () => {
+  const teams = new Map([['blue', teamLimits(0)]]);
+  const small = waitingJob(job('small', 'blue', 'normal', { tasks: 100_000, cpus: 1e-9, memoryGb: 0 }));
+  const input = {
+    queue: orderQueue([small], teams),
+    machines: [machineWithFreeCpus('m1', 4), { ...machineWithFreeCpus('m2', 4), freeTasks: 3 }],
+    quotas: teams,
+    usage: new Map(),
+    boostedCpusLeft: 0,
+    hasBoostedTasks: false,
+    cursor: 0,
+  };
+  const place = (maxPlacements: number): Map<string, number> => {
+    const counts = new Map<string, number>();
+    for (const { machine } of placeTasks({ ...input, maxPlacements }, () => false).placements) {
+      counts.set(machine, (counts.get(machine) ?? 0) + 1);
+    }
+    return counts;
+  };
+  assert.deepEqual(
+    place(Infinity),
+    new Map([
+      ['m1', MAX_TASKS_PER_MACHINE],
+      ['m2', 3],
+    ]),
+  );
+  assert.equal(
+    [...place(10).values()].reduce((sum, count) => sum + count),
+    10,
+  );
+  const result = placeTasks({ ...input, maxPlacements: 0 }, () => false);
+  assert.deepEqual([...result.unplaced], [], 'no machine is rented for tasks that wait for memory');
+});
+
+test('a report of as many tasks as a machine may have, with the longest fields, fits 64 KiB', () => {
+  const piece = {
+    piece: `req-${'9'.repeat(32)}/99999`,
+    try: '18446744073709551615',
+    standing: 'ended',
+    cause: 'unknown',
+    stored: false,
+  };
+  const name = 'x'.repeat(200);
+  const counts = { shift: piece.try, tally: piece.try, baton: piece.try, warningS: 1 / 3 };
+  const machine = {
+    hearth: name,
+    endpoint: '100.100.100.100:65535',
+    frame: name,
+    yard: name,
+    loaners: false,
+  };
+  const pieces = Array.from({ length: MAX_TASKS_PER_MACHINE }, () => piece);
+  const bytes = JSON.stringify({ ...machine, ...counts, pieces }).length;
+  assert.ok(bytes <= 64 * 1024, `${bytes} bytes`);
+});
--- a/test/scheduling-inputs.ts
+++ b/test/scheduling-inputs.ts
@@ -1,4 +1,5 @@
 /** @file Shared inputs for tests of scheduling algorithms. */
+import { MAX_TASKS_PER_MACHINE } from '../src/protocol/workers';
 import type { WaitingJob } from '../src/coordination/scheduling/job-queue';
 import type { Job, MachineType, Priority } from '../src/protocol/model';
 
@@ -72,6 +73,7 @@
   zone: 'a',
   spot: true,
   free: { cpus, gpus: 0, memoryGb: 16 },
+  freeTasks: MAX_TASKS_PER_MACHINE,
   cachedImages: new Map(),
   busyForS: 0,
 });
