Accept integers up to 2^64-1 in every message, and keep them exact

Cause: the protocol allows counts, versions, tokens and attempts below 2^64. Our schemas took safe integers only, and the decoder made numbers of all integers, which hold them exactly up to 2^53-1. The same schemas read versions, revisions and leases of the store; messages between controllers lost the last bits.

Change: such an integer is a `Uint64`, a number up to 2^53-1 and a bigint above, so that each has one form and `===`, `<` and keys of maps are exact. The check before decoding finds messages that have one; only these take the slower decoder. Session, count, token and attempt of workers, stamp, ledger and hold of the store, and the revisions in messages between controllers are read, compared, stored and echoed in this form. Messages without large integers have the same bytes as before.

--- a/src/bookkeeping/admission-policy.ts
+++ b/src/bookkeeping/admission-policy.ts
@@ -1,4 +1,5 @@
 /** @file The interface of admission control, which decides which jobs are accepted at present. */
+import type { Uint64 } from '../base/uint64';
 import type { Job } from '../protocol/model';
 import type { Change, Condition } from '../protocol/key-value-store';
 
@@ -28,7 +29,7 @@
   /** Reads again the records whose conditions in the terms failed. True: there were any, so the terms may have changed. */
   refresh(terms: AdmissionTerms, failedKeys: readonly string[]): Promise<boolean>;
   /** Called after the transaction with this revision has accepted a job on these terms. */
-  onAccepted(terms: AdmissionTerms, revision: number): void;
+  onAccepted(terms: AdmissionTerms, revision: Uint64): void;
 }
 
 const NO_TERMS: AdmissionTerms = { conditions: [], changes: [] };
--- a/src/bookkeeping/cancellation.ts
+++ b/src/bookkeeping/cancellation.ts
@@ -1,4 +1,5 @@
 /** @file The transaction that cancels jobs. */
+import type { Uint64 } from '../base/uint64';
 import type { Change, Condition } from '../protocol/key-value-store';
 import { unendedJobConditions } from './job-conditions';
 import { KEY, type FinalRecord } from './records';
@@ -7,7 +8,7 @@
 export interface Cancellation {
   readonly id: string;
   /** The version of the job's live record. */
-  readonly version: number;
+  readonly version: Uint64;
   readonly final: FinalRecord;
 }
 
--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -1,4 +1,5 @@
 /** @file The records that hold a job's list of dependencies. */
+import type { Uint64 } from '../base/uint64';
 import { jsonBytes, MAX_TRANSACTION_BYTES } from '../base/state-limits';
 import type { Job } from '../protocol/model';
 import type { Condition, KeyValueStore } from '../protocol/key-value-store';
@@ -92,7 +93,7 @@
   parts: readonly string[][],
   store: KeyValueStore,
   limits: RecordLimits,
-): Promise<number[]> {
+): Promise<Uint64[]> {
   const writer = new PartWriter(id, store, limits);
   for (const [part, dependencies] of parts.entries()) {
     const value: DependencyPartRecord = { dependencies };
@@ -113,14 +114,14 @@
 /** A part to be written, and the version of the record that it replaces. */
 interface PartWrite {
   readonly part: number;
-  readonly version: number;
+  readonly version: Uint64;
   readonly value: DependencyPartRecord;
 }
 
 /** Writes the parts of one list of dependencies in transactions that are as large as the limits allow. */
 class PartWriter {
   /** The versions of the stored parts, by the number of the part. */
-  readonly versions: number[] = [];
+  readonly versions: Uint64[] = [];
   #batch: PartWrite[] = [];
   #bytes = 0;
 
--- a/src/bookkeeping/job-store.ts
+++ b/src/bookkeeping/job-store.ts
@@ -1,4 +1,5 @@
 /** @file The state of jobs in the key-value store: acceptance, reads and cancellation. */
+import type { Uint64 } from '../base/uint64';
 import type { Entry } from '../protocol/key-value-store';
 import type { FinalState, Job, JobStatus } from '../protocol/model';
 import { cancellationTransaction, type Cancellation } from './cancellation';
@@ -102,13 +103,13 @@
   }
 
   /** Called after a cancellation was acknowledged with this revision; returns the job's final state. */
-  onCancelled({ id, final }: Cancellation, revision: number): JobStatus {
+  onCancelled({ id, final }: Cancellation, revision: Uint64): JobStatus {
     const status = this.cacheFinalState(id, final);
     this.#publishEnd(id, revision);
     return status;
   }
 
-  #publishEnd(id: string, revision: number): void {
+  #publishEnd(id: string, revision: Uint64): void {
     this.context.publish(eventOfChange({ delete: KEY.job(id) }, revision));
   }
 }
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -6,7 +6,7 @@
  */
 import * as z from 'zod';
 import type { Job } from '../protocol/model';
-import { listOf, mapOf, parseValue } from '../protocol/schemas';
+import { listOf, mapOf, parseValue, uint64 } from '../protocol/schemas';
 import { JOB_ID, MAX_TASKS } from '../protocol/users';
 
 /**
@@ -89,7 +89,7 @@
   return value === undefined || value === null || Array.isArray(value);
 }
 
-const controllerRecord = z.object({ lease: z.int() });
+const controllerRecord = z.object({ lease: uint64 });
 const formatRecord = z.object({ format: z.int().min(1) });
 const leaderRecord = z.object({ node: z.string() });
 const fencingTokenRecord = z.object({ next: count });
--- a/src/bookkeeping/relay-records.ts
+++ b/src/bookkeeping/relay-records.ts
@@ -5,6 +5,7 @@
  * are written together. A record without a list covers all machines of its shard: earlier versions write no lists, and a
  * list that would not fit one transaction is left out.
  */
+import type { Uint64 } from '../base/uint64';
 import { jsonBytes, MAX_TRANSACTION_BYTES, splitBySize } from '../base/state-limits';
 import type { Change, Condition, Entry } from '../protocol/key-value-store';
 import { KEY, read, type RelayRecord } from './records';
@@ -64,7 +65,7 @@
 export function relayRecordChanges(
   records: Records,
   { shard, controller }: RelayId,
-  { machines, lease, limits }: { machines: readonly string[]; lease: number; limits: RelayRecordLimits },
+  { machines, lease, limits }: { machines: readonly string[]; lease: Uint64; limits: RelayRecordLimits },
 ): Change[] {
   const puts = valuesOf(machines, limits).map((value, part) => ({
     put: KEY.relay(shard, controller, part),
--- a/src/bookkeeping/session.ts
+++ b/src/bookkeeping/session.ts
@@ -1,4 +1,5 @@
 /** @file The lease of a controller in the key-value store. */
+import type { Uint64 } from '../base/uint64';
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import type { KeyValueStore } from '../protocol/key-value-store';
@@ -30,14 +31,14 @@
  * the lease.
  */
 export class Session {
-  #lease: number | undefined;
+  #lease: Uint64 | undefined;
   #renewedAt = -Infinity;
   #extendedUntil = -Infinity;
 
   constructor(private readonly context: SessionContext) {}
 
   /** The id of the current lease, if there is one. */
-  get lease(): number | undefined {
+  get lease(): Uint64 | undefined {
     return this.#lease;
   }
 
@@ -116,7 +117,7 @@
     log.info({ lease, ttlMs }, 'controller lease granted');
   }
 
-  async #renew(lease: number): Promise<void> {
+  async #renew(lease: Uint64): Promise<void> {
     const { store, clock, log } = this.context;
     const sentAt = clock.now();
     if (await store.renewLease(lease)) {
--- a/src/bookkeeping/watch-cache.ts
+++ b/src/bookkeeping/watch-cache.ts
@@ -1,4 +1,5 @@
 /** @file A cache of the live records that is kept up to date by a watch. */
+import { maxUint64, type Uint64 } from '../base/uint64';
 import type { Clock } from '../base/clock';
 import type { ChangeEvent, Entry, KeyValueStore } from '../protocol/key-value-store';
 import { eventOfEntry } from './change-events';
@@ -29,7 +30,7 @@
   /** Deletions, including those received ahead of the watch, so that a delayed older event can't restore a deleted key. */
   readonly #deletions = new DeletionLog();
   readonly #listeners: Listener[] = [];
-  #revision = 0;
+  #revision: Uint64 = 0;
   #loaded = false;
   #watchStartedAt = -Infinity;
   #freshAt = -Infinity;
@@ -43,7 +44,7 @@
   }
 
   /** The revision up to which the cache contains every change. */
-  get revision(): number {
+  get revision(): Uint64 {
     return this.#revision;
   }
 
@@ -68,7 +69,7 @@
   }
 
   /** The revision of the key's last change, for a condition; 0 if the cache has no entry. */
-  version(key: string): number {
+  version(key: string): Uint64 {
     return this.#entries.get(key)?.version ?? 0;
   }
 
@@ -78,7 +79,7 @@
   }
 
   /** Deletions of a kind of key after a revision; undefined if not all of them are remembered. */
-  deletedSince(prefix: string, revision: number): Deletion[] | undefined {
+  deletedSince(prefix: string, revision: Uint64): Deletion[] | undefined {
     return this.#loaded ? this.#deletions.since(prefix, revision) : undefined;
   }
 
@@ -101,7 +102,7 @@
       return;
     }
     for (const event of changes.events) this.#apply(event);
-    this.#revision = Math.max(this.#revision, changes.revision);
+    this.#revision = maxUint64(this.#revision, changes.revision);
     this.#freshAt = sentAt;
     // Deletions ahead of the watch are kept. Otherwise a lease extension granted to an owner with an equally old cache
     // would lack them, and a delayed notification could restore a deleted key.
@@ -122,7 +123,7 @@
     const sentAt = clock.now();
     const listedKeys = new Set<string>();
     let after: string | undefined;
-    let firstRevision: number | undefined;
+    let firstRevision: Uint64 | undefined;
     for (;;) {
       const page = await store.list(prefix, after);
       firstRevision ??= page.revision;
@@ -142,7 +143,7 @@
     this.#loadedAt = clock.now();
   }
 
-  #deleteUnlisted(listedKeys: ReadonlySet<string>, revision: number): void {
+  #deleteUnlisted(listedKeys: ReadonlySet<string>, revision: Uint64): void {
     for (const { key, version } of [...this.#entries.values()]) {
       if (!listedKeys.has(key) && version <= revision) {
         this.#apply({ key, version: revision, deleted: true });
--- a/src/coordination/autoscaling/rental-recorder.ts
+++ b/src/coordination/autoscaling/rental-recorder.ts
@@ -1,4 +1,5 @@
 /** @file Records rented machines in the key-value store. */
+import type { Uint64 } from '../../base/uint64';
 import { WakeSignal } from '../../base/clock';
 import { maxChangesPerTransaction } from '../../base/state-limits';
 import { KEY, type MachineRecord } from '../../bookkeeping/records';
@@ -123,7 +124,7 @@
     );
   }
 
-  #onRecorded(batch: readonly RecordWrite[], version: number): void {
+  #onRecorded(batch: readonly RecordWrite[], version: Uint64): void {
     for (const { id } of batch) this.#unrecorded.delete(id);
     for (const { put } of batch) {
       this.context.publish({ key: put.put, version, value: put.value, deleted: false });
--- a/src/coordination/ownership/lease-relay.ts
+++ b/src/coordination/ownership/lease-relay.ts
@@ -11,6 +11,7 @@
 import { shardCount } from '../../bookkeeping/shard-count';
 import type { WatchCache } from '../../bookkeeping/watch-cache';
 import type { Change } from '../../protocol/key-value-store';
+import type { Uint64 } from '../../base/uint64';
 import type { WorkerCommand, WorkerHeartbeat } from '../../protocol/model';
 import { PEER_TIMEOUT_MS } from '../../suspicion/peer-liveness';
 import type { PeerReachability } from '../../suspicion/peer-reachability';
@@ -88,7 +89,7 @@
     }
   }
 
-  async #updateRecord(shard: number, sessionLease: number): Promise<void> {
+  async #updateRecord(shard: number, sessionLease: Uint64): Promise<void> {
     const { clock, settings } = this.context;
     const now = clock.now();
     const workers = this.#workersOf(shard);
@@ -123,7 +124,7 @@
     return lease?.owner === controllerId ? undefined : lease;
   }
 
-  async #writeRecord(shard: number, machines: readonly string[], sessionLease: number): Promise<void> {
+  async #writeRecord(shard: number, machines: readonly string[], sessionLease: Uint64): Promise<void> {
     const { cache, settings, log } = this.context;
     const { state } = settings.platform.deployment;
     const workers = this.#workersOf(shard);
--- a/src/coordination/ownership/owner-candidates.ts
+++ b/src/coordination/ownership/owner-candidates.ts
@@ -1,4 +1,5 @@
 /** @file The controllers that could own a shard, according to the records. */
+import { compareUint64 } from '../../base/uint64';
 import { KEY, PREFIX, read } from '../../bookkeeping/records';
 import { shardCount } from '../../bookkeeping/shard-count';
 import type { OwnerCandidate } from '../../suspicion/successor';
@@ -7,7 +8,7 @@
 /** The controllers that hold a session, in the order in which they opened their sessions. */
 export function liveControllers({ cache }: ControllerContext): string[] {
   return [...cache.under(PREFIX.controller)]
-    .sort((a, b) => a.version - b.version)
+    .sort((a, b) => compareUint64(a.version, b.version))
     .map((entry) => entry.key.slice(PREFIX.controller.length));
 }
 
--- a/src/coordination/ownership/record-garbage-collector.ts
+++ b/src/coordination/ownership/record-garbage-collector.ts
@@ -1,4 +1,5 @@
 /** @file Deletion of records that ended jobs left behind; the leader's duty. */
+import type { Uint64 } from '../../base/uint64';
 import { maxChangesPerTransaction } from '../../base/state-limits';
 import { COMPLETION_PREFIXES, jobOfCompletionKey } from '../../bookkeeping/completion-records';
 import { jobOfDependencyPartKey } from '../../bookkeeping/dependency-parts';
@@ -17,7 +18,7 @@
 /** A record that belongs to no live job. */
 export interface OrphanRecord {
   readonly key: string;
-  readonly version: number;
+  readonly version: Uint64;
   /** Key of the job's record, which exists only while the job is live. */
   readonly job: string;
 }
--- a/src/coordination/ownership/relayed-workers.ts
+++ b/src/coordination/ownership/relayed-workers.ts
@@ -1,8 +1,9 @@
 /** @file The workers of one shard whose leases a relay renews or is asked to renew. */
+import type { Uint64 } from '../../base/uint64';
 
 /** The machines that the relay's acknowledged record covers, and the session lease to which the record is bound. */
 interface Coverage {
-  readonly sessionLease: number;
+  readonly sessionLease: Uint64;
   readonly machines: ReadonlySet<string>;
   /** Whether the store's record is known to cover just these machines: no write or deletion without a response followed. */
   readonly isCurrent: boolean;
@@ -34,12 +35,12 @@
   }
 
   /** Whether an acknowledged record, bound to this session lease, covers the machine. */
-  covers(machine: string, sessionLease: number): boolean {
+  covers(machine: string, sessionLease: Uint64): boolean {
     return this.#coverage?.sessionLease === sessionLease && this.#coverage.machines.has(machine);
   }
 
   /** Whether the store's record covers these machines and no others. */
-  coversExactly(machines: readonly string[], sessionLease: number): boolean {
+  coversExactly(machines: readonly string[], sessionLease: Uint64): boolean {
     const { isCurrent = false, machines: covered } = this.#coverage ?? {};
     return (
       isCurrent &&
@@ -52,13 +53,13 @@
    * Notes that a record of these machines is being written. Only those that the previous record covers too may get
    * responses until the write is acknowledged.
    */
-  recordWriteStarted(machines: readonly string[], sessionLease: number): void {
+  recordWriteStarted(machines: readonly string[], sessionLease: Uint64): void {
     const covered = machines.filter((machine) => this.covers(machine, sessionLease));
     this.#coverage = { sessionLease, machines: new Set(covered), isCurrent: false };
   }
 
   /** Notes that the store acknowledged the record of these machines. */
-  recordWritten(machines: readonly string[], sessionLease: number): void {
+  recordWritten(machines: readonly string[], sessionLease: Uint64): void {
     this.#coverage = { sessionLease, machines: new Set(machines), isCurrent: true };
   }
 
--- a/src/coordination/ownership/shard-acquisition.ts
+++ b/src/coordination/ownership/shard-acquisition.ts
@@ -1,4 +1,5 @@
 /** @file Acquires the shards that the leader assigned to this controller, and releases those assigned to others. */
+import type { Uint64 } from '../../base/uint64';
 import { KEY, read, type ShardRecord } from '../../bookkeeping/records';
 import { shardCount } from '../../bookkeeping/shard-count';
 import type { Change, Condition, Entry } from '../../protocol/key-value-store';
@@ -118,7 +119,7 @@
   }
 
   /** Acquires the shard's lease and a new fencing token in one transaction, and then starts the shard's owner. */
-  async #acquire(shard: number, record: ShardRecord, sessionLease: number): Promise<AcquisitionOutcome> {
+  async #acquire(shard: number, record: ShardRecord, sessionLease: Uint64): Promise<AcquisitionOutcome> {
     const { controllerId, cache, session, store, clock, log } = this.context;
     const fencingToken = (read.fencingToken(cache.get(KEY.fencingToken)?.value)?.next ?? 0) + 1;
     const changes: Change[] = [
@@ -151,7 +152,7 @@
   #startOwner(
     shard: number,
     { teams }: ShardRecord,
-    { fencingToken, revision }: { fencingToken: number; revision: number },
+    { fencingToken, revision }: { fencingToken: number; revision: Uint64 },
   ): void {
     const owner = new ShardOwner(
       {
--- a/src/coordination/shard/attempt.ts
+++ b/src/coordination/shard/attempt.ts
@@ -1,4 +1,5 @@
 /** @file One attempt to run a task on a machine, as the owner of the machine's shard tracks it. */
+import type { Uint64 } from '../../base/uint64';
 import {
   attemptKey,
   type AttemptPhase,
@@ -26,7 +27,7 @@
 export interface AttemptOrigin {
   readonly job: string;
   readonly task: number;
-  readonly number: number;
+  readonly number: Uint64;
   readonly isBoosted: boolean;
   readonly wasStartSent: boolean;
 }
@@ -56,8 +57,11 @@
 }
 
 /** The fencing token that the attempt with this number was issued under. */
-export function fencingTokenOf(attempt: number): number {
-  return Math.floor(attempt / ATTEMPTS_PER_TOKEN);
+export function fencingTokenOf(attempt: Uint64): number {
+  // 44 bits are left, which a number holds exactly.
+  return typeof attempt === 'bigint'
+    ? Number(attempt / BigInt(ATTEMPTS_PER_TOKEN))
+    : Math.floor(attempt / ATTEMPTS_PER_TOKEN);
 }
 
 /** Whether the attempt counts against its machine's resources; an attempt whose start is unconfirmed does, too. */
@@ -75,7 +79,7 @@
   readonly key: string;
   readonly job: string;
   readonly task: number;
-  readonly number: number;
+  readonly number: Uint64;
   readonly resources: Resources;
   readonly team: string;
   readonly image: string;
--- a/src/coordination/shard/command-client.ts
+++ b/src/coordination/shard/command-client.ts
@@ -1,4 +1,5 @@
 /** @file Sends commands to workers over HTTP. */
+import type { Uint64 } from '../../base/uint64';
 import type { WorkerCommand, WorkerHeartbeat } from '../../protocol/model';
 import { parseHeartbeat, writeCommandRequest } from '../../protocol/workers';
 import { NoResponseError, type HttpCaller } from '../../transport/http-client';
@@ -19,7 +20,7 @@
 export interface CommandRequest {
   readonly address: string;
   readonly fencingToken: number;
-  readonly incarnation: number;
+  readonly incarnation: Uint64;
   readonly commands: readonly WorkerCommand[];
   /** Whether the sender still holds a valid lease; checked right before the first byte is sent. */
   maySend(): boolean;
--- a/src/coordination/shard/command-dispatcher.ts
+++ b/src/coordination/shard/command-dispatcher.ts
@@ -1,4 +1,5 @@
 /** @file Sends commands to the workers of a shard and applies the results. */
+import type { Uint64 } from '../../base/uint64';
 import { describeError } from '../../base/loop';
 import type { ControllerContext } from '../controller-context';
 import { fencingTokenOf, type Attempt } from './attempt';
@@ -20,7 +21,7 @@
 /** A command request in flight. */
 interface SentCommand {
   readonly machine: Machine;
-  readonly incarnation: number;
+  readonly incarnation: Uint64;
   /** Attempts whose start commands the request contains. */
   readonly starts: readonly Attempt[];
 }
--- a/src/coordination/shard/completion-recorder.ts
+++ b/src/coordination/shard/completion-recorder.ts
@@ -1,4 +1,5 @@
 /** @file Writes task completions to the key-value store. */
+import type { Uint64 } from '../../base/uint64';
 import type { WakeSignal } from '../../base/clock';
 import { maxChangesPerTransaction, maxValueBytes } from '../../base/state-limits';
 import { completionLayout, groupByRecord, readCompletions } from '../../bookkeeping/completion-records';
@@ -209,7 +210,7 @@
     return true;
   }
 
-  #onWritten({ table, tasks, recordKeys, final }: JobWrite, revision: number): void {
+  #onWritten({ table, tasks, recordKeys, final }: JobWrite, revision: Uint64): void {
     if (!final) {
       for (const key of recordKeys) table.recordVersions.set(key, revision);
       table.markRecorded(tasks);
--- a/src/coordination/shard/dispatch-table.ts
+++ b/src/coordination/shard/dispatch-table.ts
@@ -1,4 +1,5 @@
 /** @file The dispatch table of one job: which of its tasks are unassigned, issued or done. */
+import type { Uint64 } from '../../base/uint64';
 import { Bitmap } from '../../bookkeeping/bitmap';
 import type { CompletionRecord, StoredCompletions } from '../../bookkeeping/completion-records';
 import type { JobRecord } from '../../bookkeeping/records';
@@ -20,7 +21,7 @@
   /** Tasks whose completion the key-value store has acknowledged. */
   readonly recorded: Bitmap;
   /** Versions of the job's completion records in the key-value store, by their keys. */
-  readonly recordVersions = new Map<string, number>();
+  readonly recordVersions = new Map<string, Uint64>();
   /** Tasks that a worker reported as done, but that are not yet recorded. */
   readonly unrecorded = new Set<number>();
   /** The attempt of each issued task, by the task's number. */
@@ -39,7 +40,7 @@
   constructor(
     record: JobRecord,
     /** The version of the job's record. */
-    readonly version: number,
+    readonly version: Uint64,
   ) {
     const { submittedAt } = record;
     const { job } = record;
@@ -154,7 +155,7 @@
   }
 
   /** Marks the tasks of a stored completion record as done, unless this version or a newer one was merged before. */
-  mergeRecorded(key: string, { first, bits }: StoredCompletions, version: number): void {
+  mergeRecorded(key: string, { first, bits }: StoredCompletions, version: Uint64): void {
     if (version <= (this.recordVersions.get(key) ?? 0)) return;
     this.recordVersions.set(key, version);
     for (const task of this.recorded.merge(first, bits)) {
--- a/src/coordination/shard/machine-registration.ts
+++ b/src/coordination/shard/machine-registration.ts
@@ -1,4 +1,5 @@
 /** @file Records machines as up before their first heartbeats get a response. */
+import type { Uint64 } from '../../base/uint64';
 import { describeError } from '../../base/loop';
 import { maxChangesPerTransaction } from '../../base/state-limits';
 import { KEY, type MachineRecord } from '../../bookkeeping/records';
@@ -140,7 +141,7 @@
     return undefined;
   }
 
-  #onRecorded({ pending, condition, value }: RecordWrite, version: number): void {
+  #onRecorded({ pending, condition, value }: RecordWrite, version: Uint64): void {
     const { subject, id } = pending;
     if (subject.kind === 'rental') {
       this.context.publish({ key: condition.key, version, value, deleted: false });
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -1,4 +1,5 @@
 /** @file The state of one shard in its owner's memory: jobs with dispatch tables, machines, and the shard lease. */
+import type { Uint64 } from '../../base/uint64';
 import { COMPLETION_PREFIXES, readCompletions } from '../../bookkeeping/completion-records';
 import { KEY, PREFIX, read, type MachineRecord } from '../../bookkeeping/records';
 import type { RelayedMachines } from '../../bookkeeping/relay-records';
@@ -25,9 +26,9 @@
   /** The fencing token that the acquiring transaction issued. */
   readonly fencingToken: number;
   /** The version of the shard's lease, for the conditions of transactions. */
-  readonly leaseVersion: number;
+  readonly leaseVersion: Uint64;
   /** The store revision of the transaction that acquired the lease. */
-  readonly acquiredRevision: number;
+  readonly acquiredRevision: Uint64;
 }
 
 /** Timeouts for workers that send no heartbeats, in milliseconds. */
@@ -42,8 +43,8 @@
   readonly number: number;
   /** The current fencing token; `FencingTokenRaiser` raises it to invalidate commands that got no response. */
   fencingToken: number;
-  leaseVersion: number;
-  readonly acquiredRevision: number;
+  leaseVersion: Uint64;
+  readonly acquiredRevision: Uint64;
   readonly machines = new Map<string, Machine>();
   readonly tables = new Map<string, DispatchTable>();
   readonly usage = new ResourceUsage();
@@ -121,13 +122,13 @@
   }
 
   /** Adds the job of this record, if it belongs to this shard and is not known yet. */
-  loadJob(value: unknown, version: number): void {
+  loadJob(value: unknown, version: Uint64): void {
     const record = read.job(value);
     if (!record || !this.teams.has(record.job.team) || this.tables.has(record.job.id)) return;
     this.tables.set(record.job.id, new DispatchTable(record, version));
   }
 
-  #loadCompletions(key: string, value: unknown, version: number): void {
+  #loadCompletions(key: string, value: unknown, version: Uint64): void {
     const stored = readCompletions(key, value);
     if (stored) this.tables.get(stored.job)?.mergeRecorded(key, stored, version);
   }
--- a/src/coordination/shard/worker-liveness.ts
+++ b/src/coordination/shard/worker-liveness.ts
@@ -1,6 +1,7 @@
 /**
  * @file The state of the worker on one machine: its incarnation, its lease, and the fencing token that it has seen.
  */
+import { maxUint64, type Uint64 } from '../../base/uint64';
 import { MAX_CLOCK_DRIFT } from '../../bookkeeping/session';
 import type { WorkerHeartbeat } from '../../protocol/model';
 import { fencingTokenOf, type Attempt } from './attempt';
@@ -13,14 +14,14 @@
  * sent before this owner acquired the shard. All times are monotonic.
  */
 export class WorkerLiveness {
-  #incarnation = 0;
-  #sequence = -1;
-  #fencingTokenSeen = 0;
+  #incarnation: Uint64 = 0;
+  #sequence: Uint64 = -1;
+  #fencingTokenSeen: Uint64 = 0;
   #lastHeartbeatAt: number | undefined;
   #latestLeaseStart: number;
   #lastRenewalAt: number;
   #unresponsiveSince: number | undefined;
-  #unverifiedIncarnation = 0;
+  #unverifiedIncarnation: Uint64 = 0;
   #unverifiedHeartbeats = 0;
   #lastProbeAt = -Infinity;
   #isLastCommandUnanswered = false;
@@ -40,12 +41,12 @@
   }
 
   /** The latest incarnation in the worker's messages; 0 before the first verified message. */
-  get incarnation(): number {
+  get incarnation(): Uint64 {
     return this.#incarnation;
   }
 
   /** The highest fencing token in the worker's messages: the worker rejects commands with a lower one. */
-  get fencingTokenSeen(): number {
+  get fencingTokenSeen(): Uint64 {
     return this.#fencingTokenSeen;
   }
 
@@ -84,7 +85,7 @@
   }
 
   /** The incarnation to address commands to; that of an unverified heartbeat if no other is known. */
-  get addressedIncarnation(): number {
+  get addressedIncarnation(): Uint64 {
     return this.#incarnation > 0 ? this.#incarnation : this.#unverifiedIncarnation;
   }
 
@@ -158,7 +159,7 @@
   }
 
   /** Handles the first message of a new incarnation. */
-  beginIncarnation(incarnation: number, now: number, leaseMs: number): void {
+  beginIncarnation(incarnation: Uint64, now: number, leaseMs: number): void {
     // The lease expired on the worker although it was renewed recently, so the worker receives no responses.
     if (this.#incarnation > 0 && now - this.#lastRenewalAt < leaseMs / 2) this.#unresponsiveSince ??= now;
     this.#incarnation = incarnation;
@@ -171,7 +172,7 @@
   /** Handles a heartbeat that is newer than all others by incarnation and sequence number, not by arrival. */
   heartbeatReceived(heartbeat: WorkerHeartbeat, now: number): void {
     this.#sequence = heartbeat.sequence;
-    this.#fencingTokenSeen = Math.max(this.#fencingTokenSeen, heartbeat.fencingToken);
+    this.#fencingTokenSeen = maxUint64(this.#fencingTokenSeen, heartbeat.fencingToken);
     this.#lastHeartbeatAt = now;
   }
 
@@ -179,7 +180,7 @@
    * Handles a heartbeat that may have been sent before this owner acquired the shard. Its incarnation is only used to
    * address a probe. Returns how many such heartbeats arrived before the machine was confirmed.
    */
-  unverifiedHeartbeatReceived(incarnation: number): number {
+  unverifiedHeartbeatReceived(incarnation: Uint64): number {
     this.#unverifiedIncarnation = incarnation;
     if (!this.#isConfirmed) this.#unverifiedHeartbeats += 1;
     return this.#unverifiedHeartbeats;
--- a/src/protocol/http-key-value-store.ts
+++ b/src/protocol/http-key-value-store.ts
@@ -1,5 +1,6 @@
 /** @file The HTTP client of the key-value store, which stays within this controller's share of the rate limits. */
 import * as z from 'zod';
+import type { Uint64 } from '../base/uint64';
 import {
   ResponseTooLargeError,
   NoResponseError,
@@ -20,15 +21,15 @@
   type KeyValueStore,
   type RequestPriority,
 } from './key-value-store';
-import { listOf, parseValue } from './schemas';
+import { listOf, parseValue, uint64 } from './schemas';
 
-const revision = z.int().min(0);
+const revision = uint64;
 const entrySchema = z.object({ path: z.string(), data: z.unknown(), stamp: revision });
 const notFoundSchema = z.object({ ledger: revision });
 const listSchema = z.object({ entries: listOf(entrySchema), hasNext: z.boolean(), ledger: revision });
 const swappedSchema = z.object({ ledger: revision });
 const notSwappedSchema = z.object({ failed: listOf(z.string()), ledger: revision });
-const leaseSchema = z.object({ hold: z.int() });
+const leaseSchema = z.object({ hold: uint64 });
 const changeSchema = z.union([
   z.object({ set: z.string(), data: z.unknown(), stamp: revision }),
   z.object({ delete: z.string(), stamp: revision }),
@@ -116,12 +117,12 @@
     return { ok: true, revision: parseResponse(response, swappedSchema).ledger };
   }
 
-  async grantLease(ttlMs: number): Promise<number> {
+  async grantLease(ttlMs: number): Promise<Uint64> {
     this.options.requests.takeNow();
     return parseResponse(await this.#call('POST', '/grants', { ttlMs }), leaseSchema).hold;
   }
 
-  async renewLease(lease: number): Promise<boolean> {
+  async renewLease(lease: Uint64): Promise<boolean> {
     this.options.requests.takeNow();
     const response = await this.#call('POST', `/grants/${lease}/extend`, {});
     if (response.status === STATUS_NOT_FOUND) return false;
@@ -129,13 +130,13 @@
     return true;
   }
 
-  async revokeLease(lease: number): Promise<void> {
+  async revokeLease(lease: Uint64): Promise<void> {
     this.options.requests.takeNow();
     const response = await this.#call('DELETE', `/grants/${lease}`, undefined);
     if (response.status !== STATUS_NOT_FOUND) parseResponse(response, z.unknown());
   }
 
-  async changes(prefix: string, since: number, waitMs: number): Promise<ChangeList | undefined> {
+  async changes(prefix: string, since: Uint64, waitMs: number): Promise<ChangeList | undefined> {
     const { requests, timeoutMs } = this.options;
     requests.takeNow();
     const path = `/changes?prefix=${encodeURIComponent(prefix)}&since=${since}&holdMs=${waitMs}`;
--- a/src/protocol/key-value-store.ts
+++ b/src/protocol/key-value-store.ts
@@ -1,41 +1,42 @@
 /** @file The key-value store as the controllers use it: their only durable, shared state. */
+import type { Uint64 } from '../base/uint64';
 
 /** A key with its value. */
 export interface Entry {
   key: string;
   value: unknown;
   /** The revision of the key's last change. */
-  version: number;
+  version: Uint64;
 }
 
 /** A condition of a compare-and-swap: the version that a key must have. */
 export interface Condition {
   key: string;
   /** 0: the key must not exist. */
-  version: number;
+  version: Uint64;
 }
 
 /** A change of a key. A key that is put with a lease is deleted when the lease ends; without a lease it stays. */
-export type Change = { put: string; value: unknown; lease?: number } | { delete: string };
+export type Change = { put: string; value: unknown; lease?: Uint64 } | { delete: string };
 
 /** The outcome of a compare-and-swap; `failed` names the keys whose conditions don't hold. */
 export type CompareAndSwapResult =
-  { ok: true; revision: number } | { ok: false; failed: string[]; revision: number };
+  { ok: true; revision: Uint64 } | { ok: false; failed: string[]; revision: Uint64 };
 
 /** A change that was made to a key. */
-export type ChangeEvent = { key: string; version: number; value?: unknown; deleted: boolean };
+export type ChangeEvent = { key: string; version: Uint64; value?: unknown; deleted: boolean };
 
 /** One page of the entries under a prefix. */
 export interface EntryPage {
   entries: Entry[];
   /** Whether entries follow after the last of this page. */
   hasMore: boolean;
-  revision: number;
+  revision: Uint64;
 }
 
 /** The changes under a prefix up to a revision. */
 export interface ChangeList {
-  revision: number;
+  revision: Uint64;
   events: ChangeEvent[];
 }
 
@@ -70,14 +71,14 @@
     priority?: RequestPriority,
   ): Promise<CompareAndSwapResult>;
   /** Grants a lease, and returns its id. */
-  grantLease(ttlMs: number): Promise<number>;
+  grantLease(ttlMs: number): Promise<Uint64>;
   /** Renews a lease; false when it has ended. */
-  renewLease(lease: number): Promise<boolean>;
+  renewLease(lease: Uint64): Promise<boolean>;
   /** Ends a lease at once. */
-  revokeLease(lease: number): Promise<void>;
+  revokeLease(lease: Uint64): Promise<void>;
   /**
    * Waits until a key with the prefix has changed after a revision, or until the time has passed. Undefined when the
    * changes can't be listed, because the revision is too old or there are too many changes.
    */
-  changes(prefix: string, since: number, waitMs: number): Promise<ChangeList | undefined>;
+  changes(prefix: string, since: Uint64, waitMs: number): Promise<ChangeList | undefined>;
 }
--- a/src/protocol/message-pack-check.ts
+++ b/src/protocol/message-pack-check.ts
@@ -12,6 +12,12 @@
 const MAP_ENTRY_BYTES = 64;
 const NUMBER_BYTES = 16;
 
+const INTEGER_64_BYTES = 8;
+const FORMAT_UINT_64 = 0xcf;
+const FORMAT_INT_64 = 0xd3;
+/** The highest byte but one of 2^53: an integer of 64 bits is at least as large if this or the byte before it says so. */
+const FIRST_UNSAFE_BYTE = 0x20;
+
 /** What a type byte announces. */
 type FormatKind = 'small value' | 'number' | 'text' | 'list' | 'map' | 'unsupported';
 
@@ -67,15 +73,18 @@
 
 /**
  * Throws `MalformedMessageError` unless the bytes are exactly one value as the protocols use them: text keys, valid UTF-8,
- * nothing binary, within the bounds of `decoded-size.ts`. Allocates nothing that depends on the message.
+ * nothing binary, within the bounds of `decoded-size.ts`. Allocates nothing that depends on the message. Returns whether
+ * the message has an integer of 2^53 or more, which a number doesn't hold exactly.
  */
-export function checkMessagePack(message: Uint8Array, acceptsInvalidText = false): void {
+export function checkMessagePack(message: Uint8Array, acceptsInvalidText = false): boolean {
   const check = new MessagePackCheck(message, acceptsInvalidText);
   check.checkValue(0);
   check.checkEnd();
+  return check.hasLargeIntegers;
 }
 
 class MessagePackCheck {
+  hasLargeIntegers = false;
   #position = 0;
   readonly #size: DecodedSize;
 
@@ -96,8 +105,7 @@
       case 'small value':
         return;
       case 'number':
-        this.#skip(format.length);
-        this.#size.add(NUMBER_BYTES);
+        this.#checkNumber(format);
         return;
       case 'text':
         this.#checkText(format);
@@ -113,6 +121,22 @@
     }
   }
 
+  #checkNumber({ length }: Format): void {
+    const from = this.#position;
+    this.#skip(length);
+    this.#size.add(NUMBER_BYTES);
+    if (length === INTEGER_64_BYTES && this.#isLargeInteger(from)) this.hasLargeIntegers = true;
+  }
+
+  /** Whether the eight bytes from this position are an integer of 2^53 or more. */
+  #isLargeInteger(from: number): boolean {
+    const format = this.message[from - 1];
+    if (format !== FORMAT_UINT_64 && format !== FORMAT_INT_64) return false;
+    const highest = this.message[from] ?? 0;
+    const isNegative = format === FORMAT_INT_64 && highest >= 0x80;
+    return !isNegative && (highest > 0 || (this.message[from + 1] ?? 0) >= FIRST_UNSAFE_BYTE);
+  }
+
   #checkText(format: Format): void {
     const length = this.#readLength(format);
     const from = this.#position;
--- a/src/protocol/peer-view.ts
+++ b/src/protocol/peer-view.ts
@@ -1,6 +1,7 @@
 /** @file A controller's view of its peers' liveness: a field of the heartbeat between controllers. */
+import type { Uint64 } from '../base/uint64';
 import * as z from 'zod';
-import { listOf, parseValue } from './schemas';
+import { listOf, parseValue, uint64 } from './schemas';
 
 /** The statuses of a peer; the index is the number on the wire. Numbers are never reused. */
 export const PEER_STATUSES = ['unknown', 'alive', 'suspected', 'refuted', 'failed', 'returned'] as const;
@@ -21,7 +22,7 @@
   /** Time for which the sender has assigned this status to the peer, in milliseconds. */
   readonly forMs: number;
   /** The session and incarnation of the peer to which the opinion refers. */
-  readonly run: number;
+  readonly run: Uint64;
   readonly incarnation: number;
   /** Time since the sender received the peer's last message, in milliseconds; undefined: it received none. */
   readonly heardMsAgo: number | undefined;
@@ -30,7 +31,7 @@
 /** A controller's view of its peers, with the controller's own session and incarnation. */
 export interface PeerView {
   /** The sender's session: the revision at which its controller record was written, 0 without one. Only increases. */
-  readonly run: number;
+  readonly run: Uint64;
   /** Increased by the sender, within a session, to refute a suspicion. */
   readonly incarnation: number;
   /** Whether the sender has stalled repeatedly in a short time; its opinions are then ignored. */
@@ -54,13 +55,13 @@
   status: indexOf(PEER_STATUSES),
   reason: indexOf(PEER_REASONS),
   forMs: count,
-  run: count,
+  run: uint64,
   incarnation: count,
   wasHeard: z.boolean(),
   heardMsAgo: count,
 });
 const viewSchema = z.object({
-  run: count,
+  run: uint64,
   incarnation: count,
   isStalled: z.boolean(),
   opinions: listOf(opinionSchema),
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -2,6 +2,7 @@
  * @file Messages between controllers: their types, and their encoding with protobuf (`peer.proto`). All of them are hints:
  * only the key-value store is authoritative.
  */
+import { fromBigInt, replaceBigInts, type Uint64 } from '../base/uint64';
 import * as protobuf from 'protobufjs';
 import { readPeerView, writePeerView, type PeerView } from './peer-view';
 import definition from './peer.proto';
@@ -22,7 +23,7 @@
   /** The sequence number of the request at its sender. */
   number: number;
   /** The revision up to which the sender has received changes. */
-  revision: number;
+  revision: Uint64;
 }
 
 /**
@@ -34,7 +35,7 @@
   to: string;
   /** The number of the request. */
   number: number;
-  endedJobs: { id: string; version: number }[];
+  endedJobs: { id: string; version: Uint64 }[];
 }
 
 /** The periodic message of a controller to its peers. */
@@ -66,7 +67,7 @@
 /** A change notification in its protobuf form. */
 interface EncodedNotification {
   key: string;
-  version: number;
+  version: Uint64;
   deleted: boolean;
   /** MessagePack; empty for a deletion. */
   value: Uint8Array;
@@ -83,7 +84,9 @@
 const messageType = protobuf.parse(definition).root.lookupType('PeerMessage');
 
 function encode(message: object): Uint8Array {
-  return messageType.encode(messageType.fromObject(message)).finish();
+  // The library reads integers of 64 bits from text, not from bigints.
+  const fields = replaceBigInts(message, String) as Record<string, unknown>;
+  return messageType.encode(messageType.fromObject(fields)).finish();
 }
 
 function encodeNotification({ key, version, deleted, value }: ChangeEvent): Uint8Array {
@@ -131,8 +134,8 @@
 /** Decodes a peer's message; undefined when it is of a kind that this version doesn't know. Throws if it is malformed. */
 export function decodePeerMessage(bytes: Uint8Array): PeerMessage | undefined {
   checkProtobuf(bytes, messageType);
-  const encoded = messageType.toObject(messageType.decode(bytes), { longs: Number, defaults: true });
-  return toMessage(encoded as EncodedMessage);
+  const encoded = messageType.toObject(messageType.decode(bytes), { longs: BigInt, defaults: true });
+  return toMessage(replaceBigInts(encoded, fromBigInt) as EncodedMessage);
 }
 
 /** Reads a peer's message; undefined when it is malformed, or of a kind that this version doesn't know. */
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -3,6 +3,7 @@
  * writes all of them into the text of an error; these stop at the first one, however many items a list or map has.
  */
 import * as z from 'zod';
+import { isUint64, type Uint64 } from '../base/uint64';
 import { codec } from './codec';
 import { MalformedMessageError } from './decoded-size';
 
@@ -17,6 +18,9 @@
   .regex(/^\S+$/)
   .refine((name) => Buffer.byteLength(name) <= MAX_MACHINE_NAME_BYTES, 'too long');
 
+/** A count, version, token or attempt: an integer from 0 to 2^64-1, which stays exact. */
+export const uint64 = z.custom<Uint64>(isUint64, 'expected an integer from 0 to 2^64-1');
+
 const MAX_TEXT_LENGTH = 200;
 /** A name or description that is stored with a record; may be empty. */
 export const possiblyEmptyText = z.string().max(MAX_TEXT_LENGTH);
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -1,7 +1,8 @@
 /** @file The protocol between workers and controllers: heartbeats, their responses, and commands. */
 import * as z from 'zod';
+import type { Uint64 } from '../base/uint64';
 import type { AttemptPhase, ExitCause, ReportedAttempt, WorkerCommand, WorkerHeartbeat } from './model';
-import { listOf, machineName, parseMessage, parseValue, text, type Parsed } from './schemas';
+import { listOf, machineName, parseMessage, parseValue, text, uint64, type Parsed } from './schemas';
 
 /**
  * The most tasks on a machine, exited ones included: a report names all of them, in up to 132 bytes of JSON each, and has
@@ -9,8 +10,6 @@
  */
 export const MAX_TASKS_PER_MACHINE = 400;
 
-const count = z.int().min(0);
-
 /** Phases by their names on the wire. */
 const PHASES: Record<string, AttemptPhase> = {
   fetching: 'fetching',
@@ -34,7 +33,7 @@
 
 const attemptSchema = z.object({
   piece: z.string().regex(/^[^/\s]+\/[0-9]{1,9}$/),
-  try: count,
+  try: uint64,
   standing: z.string(),
   cause: z.string().nullish(),
   stored: z.boolean().nullish(),
@@ -46,9 +45,9 @@
   frame: text,
   yard: text,
   loaners: z.boolean(),
-  shift: count,
-  tally: count,
-  baton: count,
+  shift: uint64,
+  tally: uint64,
+  baton: uint64,
   warningS: z.number().min(0).nullish(),
   pieces: listOf(attemptSchema),
 });
@@ -124,7 +123,7 @@
 /** A request body that sends commands directly to a worker, which executes them only in the given incarnation. */
 export function writeCommandRequest(
   fencingToken: number,
-  incarnation: number,
+  incarnation: Uint64,
   commands: readonly WorkerCommand[],
 ): Record<string, unknown> {
   return { baton: fencingToken, shift: incarnation, orders: writeCommands(commands) };
--- a/src/suspicion/majority-suspicion.ts
+++ b/src/suspicion/majority-suspicion.ts
@@ -1,11 +1,12 @@
 /** @file Decides whether a majority suspects a controller. A pure function of the views in the controllers' heartbeats. */
+import type { Uint64 } from '../base/uint64';
 import type { PeerView } from '../protocol/peer-view';
 import { isSuspect } from './peer-state';
 
 /** A controller and its session epoch. Opinions on an earlier session of the controller are ignored. */
 export interface ControllerSession {
   readonly controller: string;
-  readonly sessionEpoch: number;
+  readonly sessionEpoch: Uint64;
 }
 
 /**
--- a/src/suspicion/peer-state.ts
+++ b/src/suspicion/peer-state.ts
@@ -1,4 +1,5 @@
 /** @file The state machine of one peer's status. Pure functions. */
+import type { Uint64 } from '../base/uint64';
 import type { PeerReason, PeerStatus } from '../protocol/peer-view';
 import type { SuspicionOptions } from './options';
 
@@ -12,7 +13,7 @@
   /** Monotonic time of the last change of status. */
   readonly since: number;
   /** The session epoch that the peer sent: the revision at which its controller record was written; 0 if unknown. */
-  readonly sessionEpoch: number;
+  readonly sessionEpoch: Uint64;
   /** Counter within a session, which the peer raises to refute a suspicion. */
   readonly incarnation: number;
   /** Running time of this process at the arrival of the last heartbeat; undefined before the first. */
@@ -23,7 +24,7 @@
 export interface HeartbeatObservation {
   readonly kind: 'heartbeat';
   /** 0 if the heartbeat contains no session epoch. */
-  readonly sessionEpoch: number;
+  readonly sessionEpoch: Uint64;
   readonly incarnation: number;
   /** Running time of this process at the arrival of the heartbeat. */
   readonly runningMs: number;
--- a/src/suspicion/peers-report.ts
+++ b/src/suspicion/peers-report.ts
@@ -1,4 +1,5 @@
 /** @file The report of the controllers' opinions on each other, for operators. */
+import type { Uint64 } from '../base/uint64';
 import type { PeerOpinion, PeerReason, PeerStatus, PeerView } from '../protocol/peer-view';
 import type { RejectionCounts } from './rejected-messages';
 
@@ -11,7 +12,7 @@
   readonly reason: PeerReason;
   readonly forMs: number;
   readonly heardMsAgo: number | null;
-  readonly run: number;
+  readonly run: Uint64;
   readonly incarnation: number;
   /** The phi estimate; only in the opinions of the controller that sent the report. */
   readonly phi: number | null;
@@ -20,7 +21,7 @@
 /** The response to `GET /peers`. */
 export interface PeersReport {
   readonly node: string;
-  readonly run: number;
+  readonly run: Uint64;
   readonly incarnation: number;
   readonly isStalled: boolean;
   /** Number of stalls of this process in the last `stall_window_s` seconds. */
--- a/src/suspicion/suspicion.ts
+++ b/src/suspicion/suspicion.ts
@@ -1,4 +1,5 @@
 /** @file Suspicion of failed controllers: observes peers and this process, and ranks controllers as shard owners. */
+import { maxUint64, type Uint64 } from '../base/uint64';
 import type { Clock } from '../base/clock';
 import type { Log } from '../base/log';
 import { KEY, PREFIX, read } from '../bookkeeping/records';
@@ -47,7 +48,7 @@
   /** The peers whose watch cache was fresh when they sent their last heartbeat. */
   readonly #peersWithFreshView = new Set<string>();
   /** The session epoch of this controller: the revision at which its record was written; 0 before the first session. */
-  #sessionEpoch = 0;
+  #sessionEpoch: Uint64 = 0;
   /** Counter within a session, raised to refute a suspicion. */
   #incarnation = 0;
   /** Monotonic time since which most peers have suspected this controller; undefined if they don't. */
@@ -73,7 +74,7 @@
     const { clock, cache, controllerId } = this.context;
     await clock.sleep(TICK_INTERVAL_MS, signal);
     const now = clock.now();
-    this.#sessionEpoch = Math.max(this.#sessionEpoch, cache.version(KEY.controller(controllerId)));
+    this.#sessionEpoch = maxUint64(this.#sessionEpoch, cache.version(KEY.controller(controllerId)));
     this.#detector.tick(now, (peer) => this.#sessionOf(peer));
     const isSuspected = this.#isSuspectedByMajority(controllerId);
     this.#suspectedSince = isSuspected ? (this.#suspectedSince ?? now) : undefined;
