Never decode the fields that are to be ignored, and accept texts of any length

Cause: the bound on what a message may become counted unknown fields, which the protocol has a receiver ignore; and the decoder made values of them, so that the bound was needed. Schemas also refused texts above 200 characters and lists of more than 1,000 machine types, for which the protocol has no limit.

Change: the known fields of a message are taken from its schema (`fieldsOf`). The check goes over unknown fields without counting them, at any depth, and still refuses false lengths, invalid UTF-8, keys that aren't text and binary data there; the decoder gets the message without them. What is decoded keeps its bound of 16 bytes a byte; a message below 64 KiB may take what one of 64 KiB could before, so that the most heap for one request stays as it was. This holds for submissions, reports, responses to commands, and each response of the store and the cloud.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -14,7 +14,8 @@
 import { Controller } from '../coordination/controller';
 import type { Environment } from '../coordination/environment';
 import { createRoutes } from '../coordination/routes';
-import { codec, externalCodec } from '../protocol/codec';
+import { codec } from '../protocol/codec';
+import { externalCodec, workerCodec } from '../protocol/external-codec';
 import { reasonOf } from '../protocol/schemas';
 import { Connections } from '../transport/connections';
 import type { PoolLimits } from '../transport/bounded-agent';
@@ -108,7 +109,7 @@
     refusedMessages,
     signal,
     connections,
-    workers: createHttpClient(codec, { perHost: 1, idle }, refusedMessages),
+    workers: createHttpClient(workerCodec, { perHost: 1, idle }, refusedMessages),
     peers: platform.others.map((peer) => new PeerSender(peer.peer_addr, { clock: systemClock, log, signal })),
   };
 }
--- a/src/coordination/ownership/lease-relay.ts
+++ b/src/coordination/ownership/lease-relay.ts
@@ -1,4 +1,5 @@
 /** @file Relay of worker leases: renews them for workers that reach this controller but not their shard's owner. */
+import type { Uint64 } from '../../base/uint64';
 import { maxChangesPerTransaction, maxValueBytes } from '../../base/state-limits';
 import { eventOfChange } from '../../bookkeeping/change-events';
 import { KEY, read, type LeaseRecord } from '../../bookkeeping/records';
@@ -11,7 +12,6 @@
 import { shardCount } from '../../bookkeeping/shard-count';
 import type { WatchCache } from '../../bookkeeping/watch-cache';
 import type { Change } from '../../protocol/key-value-store';
-import type { Uint64 } from '../../base/uint64';
 import type { WorkerCommand, WorkerHeartbeat } from '../../protocol/model';
 import { PEER_TIMEOUT_MS } from '../../suspicion/peer-liveness';
 import type { PeerReachability } from '../../suspicion/peer-reachability';
@@ -22,10 +22,14 @@
 const LINGER_MS = 3_000;
 const MS_PER_S = 1000;
 
+/** The most commands of a response: it has up to 64 KiB, and a stop command up to 150 bytes. */
+const MAX_STOPS = 400;
+
 /** Stop commands for the reported attempts whose jobs have ended; each renewal of a worker's lease includes them. */
 export function evictionsOfEndedJobs(heartbeat: WorkerHeartbeat, cache: WatchCache): WorkerCommand[] {
   return heartbeat.attempts
     .filter((attempt) => attempt.phase !== 'exited' && !cache.get(KEY.job(attempt.job)))
+    .slice(0, MAX_STOPS)
     .map(({ job, task, attempt }) => ({
       op: 'stop',
       job,
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -3,10 +3,11 @@
 import { NoResponseError, type HttpCaller, type HttpResponse } from '../transport/http-client';
 import type { RateLimit } from '../transport/rate-limit';
 import type { ListedMachine, MachineType } from './model';
-import { listOf, machineName, parseValue, possiblyEmptyText, text } from './schemas';
+import { fieldsOf, mergeFields } from './message-fields';
+import { listOf, machineName, parseValue } from './schemas';
 
 const machineTypeSchema = z.object({
-  label: text,
+  label: z.string(),
   cpus: z.number().positive(),
   cards: z.number().min(0).nullish(),
   memGb: z.number().min(0),
@@ -15,14 +16,14 @@
   rate: z.number().min(0),
   spotPrice: z.number().min(0),
   bootS: z.number().min(0),
-  yards: listOf(possiblyEmptyText),
+  yards: listOf(z.string()),
 });
 
 const listedMachineSchema = z.object({
   nameId: machineName,
-  endpoint: possiblyEmptyText,
-  frame: possiblyEmptyText,
-  yard: possiblyEmptyText,
+  endpoint: z.string(),
+  frame: z.string(),
+  yard: z.string(),
   loaners: z.boolean(),
   standing: z.enum(['starting', 'running', 'failed']),
   ageS: z.number(),
@@ -32,6 +33,14 @@
 const createdSchema = z.object({ hearths: listOf(machineName) });
 const machineListSchema = z.object({ hearths: listOf(listedMachineSchema), hasNext: z.boolean() });
 
+/** Responses by which errors are told apart. */
+const errorSchema = z.object({ error: z.unknown() });
+
+/** The known fields of all responses of the cloud; a rental lists names where the list of machines has maps. */
+export const CLOUD_FIELDS = mergeFields(
+  ...[machineTypesSchema, machineListSchema, errorSchema].map(fieldsOf),
+);
+
 /** Maximum number of machines in one page of the list. */
 export const MACHINES_PER_PAGE = 500;
 /** Maximum number of machines that one request may delete. */
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -2,7 +2,9 @@
 import { Decoder, Encoder } from '@msgpack/msgpack';
 import { fromBigInt, replaceBigInts } from '../base/uint64';
 import type { Codec } from '../transport/http-client';
-import { checkMessagePack } from './message-pack-check';
+import type { Fields } from './message-fields';
+import { checkMessagePack, type CheckOptions } from './message-pack-check';
+import { withoutUnknownFields } from './unknown-fields';
 
 /** The library writes integers from here on as floats if it accepts bigints, unless they are bigints themselves. */
 const FIRST_INTEGER_AS_FLOAT = 2 ** 32;
@@ -42,23 +44,33 @@
   return Object.fromEntries(Object.entries(value).map(([key, inner]) => [key, withBigInts(inner)]));
 }
 
-function createCodec(acceptsInvalidText: boolean): Codec {
-  return {
-    encode,
-    decode: (bytes) => {
-      const hasLargeIntegers = checkMessagePack(bytes, acceptsInvalidText);
-      return hasLargeIntegers
-        ? replaceBigInts(bigIntDecoder.decode(bytes), fromBigInt)
-        : decoder.decode(bytes);
-    },
-  };
+/**
+ * Decodes a message after it passed the check; throws `MalformedMessageError` if it doesn't. Unknown fields are left out,
+ * and integers of 2^53 and more are bigints (`Uint64`).
+ */
+export function decodeMessagePack(message: Uint8Array, options: CheckOptions): unknown {
+  const { hasUnknownFields, hasLargeIntegers } = checkMessagePack(message, options);
+  const { fields } = options;
+  const known = fields && hasUnknownFields ? withoutUnknownFields(message, fields) : message;
+  return hasLargeIntegers ? replaceBigInts(bigIntDecoder.decode(known), fromBigInt) : decoder.decode(known);
+}
+
+function createCodec(options: CheckOptions): Codec {
+  return { encode, decode: (message) => decodeMessagePack(message, options) };
 }
 
-/** MessagePack as the protocols use it. Every received message passes the check in `decode`; it throws if it is malformed. */
-export const codec: Codec = createCodec(false);
+/** MessagePack with all fields of a message. Every received message passes the check; `decode` throws if it is malformed. */
+export const codec: Codec = createCodec({ acceptsInvalidText: false, fields: undefined });
+
+/** MessagePack of messages of which only some fields are known. */
+export function codecFor(fields: Fields | undefined): Codec {
+  return createCodec({ acceptsInvalidText: false, fields });
+}
 
 /**
  * For responses of the key-value store and the cloud. Earlier versions stored text that is not valid UTF-8; refusing one such
  * record would refuse all records of its page.
  */
-export const externalCodec: Codec = createCodec(true);
+export function externalCodecFor(fields: Fields | undefined): Codec {
+  return createCodec({ acceptsInvalidText: true, fields });
+}
--- a/src/protocol/decoded-size.ts
+++ b/src/protocol/decoded-size.ts
@@ -3,11 +3,11 @@
 
 /**
  * The heap that a decoded message may take, in bytes per byte of the message. Heartbeats, submissions, pages of records
- * and peer heartbeats take up to ten.
+ * and peer heartbeats take up to ten. Unknown fields aren't decoded and take nothing.
  */
 export const MAX_DECODED_BYTES_PER_BYTE = 16;
-/** Shorter messages may take as much as one of this length. */
-export const MIN_MESSAGE_BYTES = 4 * 1024;
+/** Shorter messages may take as much as one of this length, that of the longest request. */
+export const MIN_MESSAGE_BYTES = 64 * 1024;
 /** The deepest nesting of lists and maps. The protocols' messages have up to eight levels. */
 export const MAX_DEPTH = 32;
 
--- a/src/protocol/http-key-value-store.ts
+++ b/src/protocol/http-key-value-store.ts
@@ -21,6 +21,7 @@
   type KeyValueStore,
   type RequestPriority,
 } from './key-value-store';
+import { fieldsOf, mergeFields } from './message-fields';
 import { listOf, parseValue, uint64 } from './schemas';
 
 const revision = uint64;
@@ -36,6 +37,23 @@
 ]);
 const changesSchema = z.object({ ledger: revision, news: listOf(changeSchema) });
 
+/** Responses by which errors are told apart. */
+const errorSchema = z.object({ error: z.unknown() });
+
+/** The known fields of all responses of the store. */
+export const STORE_FIELDS = mergeFields(
+  ...[
+    entrySchema,
+    notFoundSchema,
+    listSchema,
+    swappedSchema,
+    notSwappedSchema,
+    leaseSchema,
+    changesSchema,
+    errorSchema,
+  ].map(fieldsOf),
+);
+
 const STATUS_OK = 200;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
--- a/src/protocol/message-pack-check.ts
+++ b/src/protocol/message-pack-check.ts
@@ -2,7 +2,10 @@
  * @file Checks MessagePack before it is decoded. The decoder allocates lists by their declared lengths, so that a few
  * hundred bytes of nested lists fill the heap; the check trusts a length only as far as bytes follow.
  */
-import { DecodedSize, MalformedMessageError, MAX_DEPTH } from './decoded-size';
+import { DecodedSize, MalformedMessageError, MAX_DEPTH, TEXT_BYTES } from './decoded-size';
+import type { Fields } from './message-fields';
+import { MessagePackReader, type Format } from './message-pack-reader';
+import { UnknownValueCheck } from './unknown-value-check';
 
 /** Estimated heap of values in bytes, as V8 lays them out. */
 const LIST_BYTES = 48;
@@ -18,89 +21,54 @@
 /** The highest byte but one of 2^53: an integer of 64 bits is at least as large if this or the byte before it says so. */
 const FIRST_UNSAFE_BYTE = 0x20;
 
-/** What a type byte announces. */
-type FormatKind = 'small value' | 'number' | 'text' | 'list' | 'map' | 'unsupported';
-
-/** The layout of the values that begin with a type byte. */
-interface Format {
-  readonly kind: FormatKind;
-  /** Bytes of the length that follows the type byte; 0: `length` is the length. */
-  readonly lengthBytes: number;
-  /** Bytes of a number or text, items of a list, entries of a map. */
-  readonly length: number;
+/** How a message is checked. */
+export interface CheckOptions {
+  /** Whether text that is not valid UTF-8 is accepted. */
+  readonly acceptsInvalidText: boolean;
+  /** The known fields of the message; undefined: all fields are known. */
+  readonly fields: Fields | undefined;
 }
 
-/** The formats by type byte, after the MessagePack specification. */
-const FORMATS = createFormats();
-
-function createFormats(): readonly Format[] {
-  const formats: Format[] = [];
-  const set = (from: number, to: number, format: Format): void => {
-    formats.fill(format, from, to + 1);
-  };
-  const setByLength = (from: number, to: number, kind: FormatKind): void => {
-    for (let byte = from; byte <= to; byte += 1)
-      set(byte, byte, { kind, lengthBytes: 0, length: byte - from });
-  };
-  const setWithLengths = (from: number, kind: FormatKind, lengthBytes: readonly number[]): void => {
-    lengthBytes.forEach((bytes, index) => {
-      set(from + index, from + index, { kind, lengthBytes: bytes, length: 0 });
-    });
-  };
-  const setNumbers = (from: number, lengths: readonly number[]): void => {
-    lengths.forEach((length, index) => {
-      set(from + index, from + index, { kind: 'number', lengthBytes: 0, length });
-    });
-  };
-  const smallValue: Format = { kind: 'small value', lengthBytes: 0, length: 0 };
-  formats.length = 256;
-  set(0x00, 0xff, { kind: 'unsupported', lengthBytes: 0, length: 0 });
-  set(0x00, 0x7f, smallValue);
-  setByLength(0x80, 0x8f, 'map');
-  setByLength(0x90, 0x9f, 'list');
-  setByLength(0xa0, 0xbf, 'text');
-  set(0xc0, 0xc0, smallValue);
-  set(0xc2, 0xc3, smallValue);
-  setNumbers(0xca, [4, 8]);
-  setNumbers(0xcc, [1, 2, 4, 8]);
-  setNumbers(0xd0, [1, 2, 4, 8]);
-  setWithLengths(0xd9, 'text', [1, 2, 4]);
-  setWithLengths(0xdc, 'list', [2, 4]);
-  setWithLengths(0xde, 'map', [2, 4]);
-  set(0xe0, 0xff, smallValue);
-  return formats;
+/** What a check found in a valid message. */
+export interface CheckedMessage {
+  /** Whether the message has unknown fields, which are not to be decoded. */
+  readonly hasUnknownFields: boolean;
+  /** Whether a known field has an integer of 2^53 or more, which a number doesn't hold exactly. */
+  readonly hasLargeIntegers: boolean;
 }
 
 /**
  * Throws `MalformedMessageError` unless the bytes are exactly one value as the protocols use them: text keys, valid UTF-8,
- * nothing binary, within the bounds of `decoded-size.ts`. Allocates nothing that depends on the message. Returns whether
- * the message has an integer of 2^53 or more, which a number doesn't hold exactly.
+ * nothing binary, and what is to be decoded within the bounds of `decoded-size.ts`.
  */
-export function checkMessagePack(message: Uint8Array, acceptsInvalidText = false): boolean {
-  const check = new MessagePackCheck(message, acceptsInvalidText);
-  check.checkValue(0);
+export function checkMessagePack(message: Uint8Array, options: CheckOptions): CheckedMessage {
+  const check = new MessagePackCheck(message, options.acceptsInvalidText);
+  check.checkValue(0, options.fields);
   check.checkEnd();
-  return check.hasLargeIntegers;
+  return check;
 }
 
-class MessagePackCheck {
+class MessagePackCheck implements CheckedMessage {
+  hasUnknownFields = false;
   hasLargeIntegers = false;
-  #position = 0;
+  readonly #reader: MessagePackReader;
   readonly #size: DecodedSize;
 
   constructor(
     private readonly message: Uint8Array,
-    acceptsInvalidText: boolean,
+    private readonly acceptsInvalidText: boolean,
   ) {
+    this.#reader = new MessagePackReader(message);
     this.#size = new DecodedSize(message.length, acceptsInvalidText);
   }
 
   checkEnd(): void {
-    if (this.#position < this.message.length) throw new MalformedMessageError('bytes follow the message');
+    if (!this.#reader.isAtEnd) throw new MalformedMessageError('bytes follow the message');
   }
 
-  checkValue(depth: number): void {
-    const format = this.#readFormat();
+  /** Checks a value that is to be decoded, of which the given fields are known. */
+  checkValue(depth: number, fields: Fields | undefined): void {
+    const format = this.#reader.readFormat();
     switch (format.kind) {
       case 'small value':
         return;
@@ -111,10 +79,10 @@
         this.#checkText(format);
         return;
       case 'list':
-        this.#checkList(this.#readLength(format), depth + 1);
+        this.#checkList(this.#reader.readLength(format), depth + 1, fields);
         return;
       case 'map':
-        this.#checkMap(this.#readLength(format), depth + 1);
+        this.#checkMap(this.#reader.readLength(format), depth + 1, fields);
         return;
       case 'unsupported':
         throw new MalformedMessageError('a type that the protocol does not use');
@@ -122,8 +90,7 @@
   }
 
   #checkNumber({ length }: Format): void {
-    const from = this.#position;
-    this.#skip(length);
+    const from = this.#reader.skip(length);
     this.#size.add(NUMBER_BYTES);
     if (length === INTEGER_64_BYTES && this.#isLargeInteger(from)) this.hasLargeIntegers = true;
   }
@@ -138,65 +105,60 @@
   }
 
   #checkText(format: Format): void {
-    const length = this.#readLength(format);
-    const from = this.#position;
-    this.#skip(length);
-    this.#size.addText(this.message, from, this.#position);
+    const length = this.#reader.readLength(format);
+    const from = this.#reader.skip(length);
+    this.#size.addText(this.message, from, from + length);
   }
 
-  #checkList(items: number, depth: number): void {
+  #checkList(items: number, depth: number, fields: Fields | undefined): void {
     this.#checkContainer(items, depth);
     this.#size.add(LIST_BYTES + LIST_ITEM_BYTES * items);
-    for (let item = 0; item < items; item += 1) this.checkValue(depth);
+    for (let item = 0; item < items; item += 1) this.checkValue(depth, fields);
   }
 
-  #checkMap(entries: number, depth: number): void {
+  #checkMap(entries: number, depth: number, fields: Fields | undefined): void {
     this.#checkContainer(2 * entries, depth);
-    this.#size.add(MAP_BYTES + MAP_ENTRY_BYTES * entries);
+    this.#size.add(MAP_BYTES);
     for (let entry = 0; entry < entries; entry += 1) {
-      this.#checkKey();
-      this.checkValue(depth);
+      if (fields) this.#checkEntry(depth, fields);
+      else this.#checkKnownEntry(depth, undefined);
     }
   }
 
-  /** Each value takes a byte at least. */
-  #checkContainer(values: number, depth: number): void {
-    if (depth > MAX_DEPTH) throw new MalformedMessageError('nested too deeply');
-    this.#checkFollows(values);
-  }
-
-  #checkKey(): void {
-    const format = this.#readFormat();
-    if (format.kind !== 'text') throw new MalformedMessageError('a map key that is not text');
-    this.#checkText(format);
+  /** Checks an entry of a map of which only some fields are known. */
+  #checkEntry(depth: number, fields: Fields): void {
+    const keyFrom = this.#reader.position;
+    const name = this.#reader.readKey();
+    if (fields.has(name)) {
+      this.#size.add(MAP_ENTRY_BYTES + TEXT_BYTES + name.length);
+      this.checkValue(depth, fields.get(name));
+      return;
+    }
+    this.hasUnknownFields = true;
+    this.#checkUnknownKey(keyFrom);
+    new UnknownValueCheck(this.#reader, this.acceptsInvalidText).checkValue();
   }
 
-  #readFormat(): Format {
-    this.#checkFollows(1);
-    const format = FORMATS[this.message[this.#position] ?? 0];
-    this.#position += 1;
-    return format as Format;
+  #checkUnknownKey(from: number): void {
+    const key = new MessagePackReader(this.message.subarray(from, this.#reader.position));
+    new UnknownValueCheck(key, this.acceptsInvalidText).checkValue();
   }
 
-  #readLength({ lengthBytes, length }: Format): number {
-    if (lengthBytes === 0) return length;
-    this.#checkFollows(lengthBytes);
-    let value = 0;
-    for (let index = 0; index < lengthBytes; index += 1) {
-      value = value * 256 + (this.message[this.#position + index] ?? 0);
-    }
-    this.#position += lengthBytes;
-    return value;
+  #checkKnownEntry(depth: number, fields: Fields | undefined): void {
+    this.#size.add(MAP_ENTRY_BYTES);
+    this.#checkKey();
+    this.checkValue(depth, fields);
   }
 
-  #skip(bytes: number): void {
-    this.#checkFollows(bytes);
-    this.#position += bytes;
+  /** Each value takes a byte at least. */
+  #checkContainer(values: number, depth: number): void {
+    if (depth > MAX_DEPTH) throw new MalformedMessageError('nested too deeply');
+    this.#reader.checkFollows(values);
   }
 
-  #checkFollows(bytes: number): void {
-    if (bytes > this.message.length - this.#position) {
-      throw new MalformedMessageError('a length exceeds the bytes that follow');
-    }
+  #checkKey(): void {
+    const format = this.#reader.readFormat();
+    if (format.kind !== 'text') throw new MalformedMessageError('a map key that is not text');
+    this.#checkText(format);
   }
 }
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -4,13 +4,14 @@
  */
 import * as z from 'zod';
 import { isUint64, type Uint64 } from '../base/uint64';
-import { codec } from './codec';
+import { decodeMessagePack } from './codec';
 import { MalformedMessageError } from './decoded-size';
+import { markList, type Fields } from './message-fields';
 
 const INVALID = 'invalid';
 
-/** Longest name of a machine, in bytes: names are part of keys, which have up to 200 bytes and no spaces. */
-const MAX_MACHINE_NAME_BYTES = 150;
+/** Longest name of a machine, in bytes: it is a key after `live/machine/`, and keys have up to 200 bytes and no spaces. */
+const MAX_MACHINE_NAME_BYTES = 187;
 
 /** The name of a machine. */
 export const machineName = z
@@ -21,23 +22,16 @@
 /** A count, version, token or attempt: an integer from 0 to 2^64-1, which stays exact. */
 export const uint64 = z.custom<Uint64>(isUint64, 'expected an integer from 0 to 2^64-1');
 
-const MAX_TEXT_LENGTH = 200;
-/** A name or description that is stored with a record; may be empty. */
-export const possiblyEmptyText = z.string().max(MAX_TEXT_LENGTH);
-/** A name or description that is stored with a record. */
-export const text = possiblyEmptyText.min(1);
-
 /** The result of reading a value with a schema. */
 export type Parsed<T> =
   | { readonly ok: true; readonly value: T }
   /** The first problem, with the field that has it. */
   | { readonly ok: false; readonly problem: string };
 
-/** A list of items, up to `maximum` of them; stops at the first item that is invalid. */
-export function listOf<T>(item: z.ZodType<T>, maximum = Infinity): z.ZodType<T[]> {
-  return z.unknown().transform((value, context) => {
+/** A list of items; stops at the first item that is invalid. */
+export function listOf<T>(item: z.ZodType<T>): z.ZodType<T[]> {
+  const list = z.unknown().transform((value, context) => {
     if (!Array.isArray(value)) return refuse(context, 'expected a list');
-    if (value.length > maximum) return refuse(context, `more than ${maximum} items`);
     const items: T[] = [];
     for (const [index, raw] of value.entries()) {
       const parsed = item.safeParse(raw);
@@ -46,6 +40,7 @@
     }
     return items;
   });
+  return markList(list, item);
 }
 
 /** A map from texts to values; stops at the first value that is invalid. */
@@ -68,22 +63,16 @@
   return parsed.success ? { ok: true, value: parsed.data } : { ok: false, problem: problemOf(parsed.error) };
 }
 
-/** Decodes a message that must be a map. */
-export function decodeMap(bytes: Uint8Array): Parsed<Record<string, unknown>> {
+/** Decodes a message that must be a map, without the fields that are unknown. */
+export function decodeMap(bytes: Uint8Array, fields: Fields | undefined): Parsed<Record<string, unknown>> {
   try {
-    const value = codec.decode(bytes);
+    const value = decodeMessagePack(bytes, { acceptsInvalidText: false, fields });
     return isMap(value) ? { ok: true, value } : { ok: false, problem: 'the body is not a map' };
   } catch (error) {
     return { ok: false, problem: `not MessagePack: ${reasonOf(error)}` };
   }
 }
 
-/** Decodes a message that must be a map, and reads it with a schema. */
-export function parseMessage<T>(schema: z.ZodType<T>, bytes: Uint8Array): Parsed<T> {
-  const decoded = decodeMap(bytes);
-  return decoded.ok ? parseValue(schema, decoded.value) : decoded;
-}
-
 /** Why a message could not be decoded, as one of a few texts. */
 export function reasonOf(error: unknown): string {
   return error instanceof MalformedMessageError ? error.reason : 'undecodable';
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -1,35 +1,37 @@
 /** @file The protocol between users and controllers: submissions and the status of jobs. */
 import * as z from 'zod';
-import { decodeMap, listOf, parseValue, text } from './schemas';
+import { fieldsOf, mergeFields } from './message-fields';
+import { decodeMap, listOf, parseValue } from './schemas';
 import type { Job, JobState, JobStatus } from './model';
 
 /** The maximum number of tasks in a job. */
 export const MAX_TASKS = 100_000;
-/** The maximum number of machine types that a job may name. */
-const MAX_TYPES = 1_000;
 /** A status lists at most this many unfinished dependencies. */
 export const MAX_LISTED_DEPENDENCIES = 100;
 
 /** The form of a job id. */
 export const JOB_ID = /^req-[0-9]{1,32}$/;
 
-const amount = z.number().min(0).max(1e9);
+/** The largest amount that is accepted: products of a few amounts stay finite. */
+const MAX_AMOUNT = 1e15;
+
+const amount = z.number().min(0).max(MAX_AMOUNT);
 const jobId = z.string().regex(JOB_ID);
 
 const submissionSchema = z.object({
   nameId: jobId,
-  docket: text,
-  crew: text,
+  docket: z.string(),
+  crew: z.string(),
   shape: z.literal('sweep'),
   urgency: z.enum(['prod', 'urgent', 'normal', 'best_effort']),
   pieces: z.int().min(1).max(MAX_TASKS),
   cpus: amount.gt(0),
   cards: amount,
   memGb: amount,
-  build: text,
+  build: z.string(),
   sizeGb: amount,
-  frames: listOf(text, MAX_TYPES).nullish(),
-  yard: text.nullish(),
+  frames: listOf(z.string()).nullish(),
+  yard: z.string().nullish(),
   together: z.boolean(),
   apart: z.boolean(),
   loaners: z.boolean(),
@@ -41,6 +43,8 @@
 
 const dependenciesSchema = z.object({ awaits: listOf(jobId).nullish() });
 
+const SUBMISSION_FIELDS = mergeFields(fieldsOf(submissionSchema), fieldsOf(dependenciesSchema));
+
 /** Priorities by their names on the wire. */
 const PRIORITIES = { prod: 'production', urgent: 'high', normal: 'normal', best_effort: 'low' } as const;
 
@@ -61,7 +65,7 @@
 
 /** Reads a submission; an invalid one comes with the first error. */
 export function readSubmission(body: Uint8Array): Submission {
-  const decoded = decodeMap(body);
+  const decoded = decodeMap(body, SUBMISSION_FIELDS);
   if (!decoded.ok) return { kind: 'invalid', error: decoded.problem };
   const parsed = parseValue(submissionSchema, decoded.value);
   if (!parsed.ok) return { kind: 'invalid', error: parsed.problem };
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -1,8 +1,9 @@
 /** @file The protocol between workers and controllers: heartbeats, their responses, and commands. */
 import * as z from 'zod';
 import type { Uint64 } from '../base/uint64';
+import { fieldsOf } from './message-fields';
 import type { AttemptPhase, ExitCause, ReportedAttempt, WorkerCommand, WorkerHeartbeat } from './model';
-import { listOf, machineName, parseMessage, parseValue, text, uint64, type Parsed } from './schemas';
+import { listOf, machineName, decodeMap, parseValue, uint64, type Parsed } from './schemas';
 
 /**
  * The most tasks on a machine, exited ones included: a report names all of them, in up to 132 bytes of JSON each, and has
@@ -42,8 +43,8 @@
 const heartbeatSchema = z.object({
   hearth: machineName,
   endpoint: z.string().regex(/^[0-9.]+:[0-9]{1,5}$/),
-  frame: text,
-  yard: text,
+  frame: z.string(),
+  yard: z.string(),
   loaners: z.boolean(),
   shift: uint64,
   tally: uint64,
@@ -52,6 +53,9 @@
   pieces: listOf(attemptSchema),
 });
 
+/** The known fields of a heartbeat, which is also the response to commands. */
+export const HEARTBEAT_FIELDS = fieldsOf(heartbeatSchema);
+
 function toAttempt(wire: z.infer<typeof attemptSchema>): ReportedAttempt {
   const slash = wire.piece.lastIndexOf('/');
   const phase = PHASES[wire.standing] ?? 'running';
@@ -89,7 +93,9 @@
 
 /** Reads the body of a heartbeat; a malformed one comes with its first problem, and no part of it is applied. */
 export function readHeartbeat(body: Uint8Array): Parsed<WorkerHeartbeat> {
-  const parsed = parseMessage(heartbeatSchema, body);
+  const decoded = decodeMap(body, HEARTBEAT_FIELDS);
+  if (!decoded.ok) return decoded;
+  const parsed = parseValue(heartbeatSchema, decoded.value);
   return parsed.ok ? { ok: true, value: toHeartbeat(parsed.value) } : parsed;
 }
 
