Compare the machine that answers a command with the one that it was meant for

Cause: an answer to a command was taken for that of the machine that the command was meant for, whoever sent it. The attempt was then on both machines under one key; when the machine that is gone was released, its task was issued again while it ran on the other one.

Change: an answer with another machine's name counts as none for the machine that was meant, so that it gets no more starts; it is applied to the machine that sent it. An attempt that another machine reports is moved there, if the machine that it was issued to never reported it; without an answer it stays unconfirmed until the other one reports.

--- a/src/coordination/shard/attempt-manager.ts
+++ b/src/coordination/shard/attempt-manager.ts
@@ -118,6 +118,7 @@
   }
 
   #onFound(machine: Machine, attempt: Attempt, table: DispatchTable | undefined): void {
+    if (table) this.#removeFromIntendedMachine(machine, attempt, table);
     if (attempt.phase === 'exited') return;
     if (!table) {
       this.#evictForEndedJob(machine, attempt);
@@ -128,6 +129,23 @@
     }
   }
 
+  /**
+   * Removes an attempt from the machine that its start command was meant for, if another machine reports it: the other one
+   * has executed the command, because it got the address of a machine that is gone.
+   */
+  #removeFromIntendedMachine(machine: Machine, attempt: Attempt, table: DispatchTable): void {
+    const issued = table.issued.get(attempt.task);
+    if (issued?.key !== attempt.key || issued.machine === machine.id) return;
+    if (!this.shard.machines.get(issued.machine)?.discardUnstarted(attempt.key)) return;
+    table.markLost(attempt.task, attempt.key);
+    const { job, task } = attempt;
+    const { log } = this.context;
+    log.info(
+      { job, task, intended: issued.machine, machine: machine.id },
+      'attempt started on another machine',
+    );
+  }
+
   /**
    * Handles an attempt that is gone, or exited without completing its task. The task becomes unassigned only if it has
    * no other attempt on any machine. A task can have two attempts after a failover: a delayed heartbeat may report one
--- a/src/coordination/shard/command-dispatcher.ts
+++ b/src/coordination/shard/command-dispatcher.ts
@@ -2,6 +2,7 @@
 import type { Uint64 } from '../../base/uint64';
 import { describeError } from '../../base/loop';
 import type { ControllerContext } from '../controller-context';
+import type { WorkerHeartbeat } from '../../protocol/model';
 import { fencingTokenOf, type Attempt } from './attempt';
 import type { AttemptManager } from './attempt-manager';
 import { sendCommands, type CommandRequest, type CommandResult } from './command-client';
@@ -143,8 +144,29 @@
 
   #onResult(sent: SentCommand, result: CommandResult): void {
     for (const attempt of sent.starts) attempt.startCommandEnded();
-    if (result.kind === 'done' || result.kind === 'refused') this.#onAnswered(sent, result);
-    else this.#onUnanswered(sent, result.kind);
+    if (result.kind === 'not sent' || result.kind === 'unknown') this.#onUnanswered(sent, result.kind);
+    else if (result.heartbeat && result.heartbeat.machine !== sent.machine.id) {
+      this.#onAnsweredByOther(sent, result, result.heartbeat);
+    } else this.#onAnswered(sent, result);
+  }
+
+  /**
+   * Handles the answer of another machine, which has the address of the one that the commands were meant for: the latter
+   * is probably gone, and didn't get them. The other one may have executed start commands; its report then moves their
+   * attempts to it (`AttemptManager`). If it isn't known yet, they stay unconfirmed until it reports.
+   */
+  #onAnsweredByOther(
+    sent: SentCommand,
+    { kind }: CommandResult & { kind: 'done' | 'refused' },
+    heartbeat: WorkerHeartbeat,
+  ): void {
+    const { machine, starts } = sent;
+    const { machine: otherId } = heartbeat;
+    this.context.log.info({ machine: machine.id, answeredBy: otherId, kind }, 'another machine answered');
+    if (kind === 'refused') this.#discardUnstarted(machine, starts);
+    const other = this.shard.machines.get(otherId);
+    if (kind === 'done' && other?.isUp) this.#reconciler.reconcile(other, heartbeat);
+    this.#onUnanswered(sent, 'unknown');
   }
 
   #onAnswered(sent: SentCommand, result: CommandResult & { kind: 'done' | 'refused' }): void {
