--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -4,10 +4,10 @@
 import type { RateLimit } from '../transport/rate-limit';
 import type { ListedMachine, MachineType } from './model';
 import { fieldsOf, mergeFields } from './message-fields';
-import { listOf, machineName, parseValue } from './schemas';
+import { listOf, machineName, parseValue, text } from './schemas';
 
 const machineTypeSchema = z.object({
-  label: z.string(),
+  label: text,
   cpus: z.number().positive(),
   cards: z.number().min(0).nullish(),
   memGb: z.number().min(0),
--- a/src/protocol/schemas.ts
+++ b/src/protocol/schemas.ts
@@ -19,6 +19,9 @@
   .regex(/^\S+$/)
   .refine((name) => Buffer.byteLength(name) <= MAX_MACHINE_NAME_BYTES, 'too long');
 
+/** A name of any length; an empty one names nothing. */
+export const text = z.string().min(1);
+
 /** A count, version, token or attempt: an integer from 0 to 2^64-1, which stays exact. */
 export const uint64 = z.custom<Uint64>(isUint64, 'expected an integer from 0 to 2^64-1');
 
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -1,7 +1,7 @@
 /** @file The protocol between users and controllers: submissions and the status of jobs. */
 import * as z from 'zod';
 import { fieldsOf, mergeFields } from './message-fields';
-import { decodeMap, listOf, parseValue } from './schemas';
+import { decodeMap, listOf, parseValue, text } from './schemas';
 import type { Job, JobState, JobStatus } from './model';
 
 /** The maximum number of tasks in a job. */
@@ -20,18 +20,18 @@
 
 const submissionSchema = z.object({
   nameId: jobId,
-  docket: z.string(),
-  crew: z.string(),
+  docket: text,
+  crew: text,
   shape: z.literal('sweep'),
   urgency: z.enum(['prod', 'urgent', 'normal', 'best_effort']),
   pieces: z.int().min(1).max(MAX_TASKS),
   cpus: amount.gt(0),
   cards: amount,
   memGb: amount,
-  build: z.string(),
+  build: text,
   sizeGb: amount,
-  frames: listOf(z.string()).nullish(),
-  yard: z.string().nullish(),
+  frames: listOf(text).nullish(),
+  yard: text.nullish(),
   together: z.boolean(),
   apart: z.boolean(),
   loaners: z.boolean(),
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -3,7 +3,7 @@
 import type { Uint64 } from '../base/uint64';
 import { fieldsOf } from './message-fields';
 import type { AttemptPhase, ExitCause, ReportedAttempt, WorkerCommand, WorkerHeartbeat } from './model';
-import { listOf, machineName, decodeMap, parseValue, uint64, type Parsed } from './schemas';
+import { listOf, machineName, decodeMap, parseValue, text, uint64, type Parsed } from './schemas';
 
 /**
  * The most tasks on a machine, exited ones included: a report names all of them, in up to 132 bytes of JSON each, and has
@@ -43,8 +43,8 @@
 const heartbeatSchema = z.object({
   hearth: machineName,
   endpoint: z.string().regex(/^[0-9.]+:[0-9]{1,5}$/),
-  frame: z.string(),
-  yard: z.string(),
+  frame: text,
+  yard: text,
   loaners: z.boolean(),
   shift: uint64,
   tally: uint64,
