Keep each team with the shard whose record has it

Cause: the leader gave teams to shards by their place in its settings, one shard at a time as it changed hands, so that a new team moved those behind it to the other shard, whose owner found no attempts of their jobs on its machines.

Change: a team stays with the shard whose record has it (`teamsOfShard`); only teams that no record has are given by place, and the transaction has conditions on the records of the other shards. The first assignment, and one after a change of the number of shards, which is made with all controllers stopped, are as before.

--- a/src/base/state-limits.ts
+++ b/src/base/state-limits.ts
@@ -20,6 +20,8 @@
 const BYTES_PER_KB = 1024;
 /** Maximum size of the values of one transaction; the rest of its 64 KiB is for keys and conditions. */
 export const MAX_TRANSACTION_BYTES = 48 * BYTES_PER_KB;
+/** The key-value store's limit on conditions is this multiple of its limit on changes. */
+export const CONDITIONS_PER_CHANGE = 4;
 /** The acquisition of a shard needs this many changes in one transaction. */
 const MIN_TRANSACTION_CHANGES = 3;
 /** Maximum share of `write_rps` that one transaction may use; a transaction that needs all of it may wait forever. */
--- a/src/bookkeeping/dependency-records.ts
+++ b/src/bookkeeping/dependency-records.ts
@@ -1,6 +1,6 @@
 /** @file The records that hold a job's list of dependencies. */
 import type { Uint64 } from '../base/uint64';
-import { jsonBytes, MAX_TRANSACTION_BYTES } from '../base/state-limits';
+import { CONDITIONS_PER_CHANGE, jsonBytes, MAX_TRANSACTION_BYTES } from '../base/state-limits';
 import type { Job } from '../protocol/model';
 import type { Condition, KeyValueStore } from '../protocol/key-value-store';
 import { NoResponseError } from '../transport/http-client';
@@ -12,8 +12,6 @@
 /** The size of the comma between two elements of a list. */
 const SEPARATOR_BYTES = 1;
 
-/** The key-value store's limit on conditions is this multiple of its limit on changes. */
-const CONDITIONS_PER_CHANGE = 4;
 /** The number of conditions on a job's own records in the transaction that accepts the job. */
 const RESERVED_CONDITIONS = 2;
 
--- a/src/coordination/ownership/shard-assignment.ts
+++ b/src/coordination/ownership/shard-assignment.ts
@@ -1,10 +1,12 @@
 /** @file Assignment of shards to live controllers, and rebalancing; the leader's duty. */
+import { CONDITIONS_PER_CHANGE } from '../../base/state-limits';
 import { eventOfChange } from '../../bookkeeping/change-events';
 import { KEY, read, type ShardRecord } from '../../bookkeeping/records';
 import { shardCount } from '../../bookkeeping/shard-count';
 import type { Condition } from '../../protocol/key-value-store';
 import type { ControllerContext } from '../controller-context';
 import { liveControllers, rankOwners } from './owner-candidates';
+import { teamsOfShard } from './shard-teams';
 
 /** Rebalancing moves a shard only between controllers whose shard counts differ by at least this number. */
 const MIN_IMBALANCE = 2;
@@ -107,32 +109,38 @@
 
   /** Writes the owner into the shard's record; false if this controller isn't the leader or the record has changed. */
   async #assign(shard: number, owner: string): Promise<boolean> {
-    const { cache, store, log } = this.context;
+    const { store, log } = this.context;
     const leadership = this.leadershipCondition();
     if (!leadership) return false;
     const key = KEY.shard(shard);
     const change = { put: key, value: this.#recordWithOwner(shard, owner) };
-    const result = await store.compareAndSwap(
-      [{ key, version: cache.version(key) }, leadership],
-      [change],
-      'urgent',
-    );
+    const conditions = [leadership, ...this.#unchangedShards(shard)];
+    const result = await store.compareAndSwap(conditions, [change], 'urgent');
     if (!result.ok) return false;
     log.info({ shard, owner }, 'shard assigned');
     this.context.publish(eventOfChange(change, result.revision));
     return true;
   }
 
+  /**
+   * Conditions that this shard's record, and those of the others as far as a transaction may have conditions, are as they
+   * are cached: a team that another leader has just given to another shard must not be given to this one as well.
+   */
+  #unchangedShards(shard: number): Condition[] {
+    const { cache, settings } = this.context;
+    const others = Array.from({ length: shardCount(cache, settings) }, (_, other) => other);
+    const maxConditions = CONDITIONS_PER_CHANGE * settings.platform.deployment.state.txn_ops;
+    return [shard, ...others.filter((other) => other !== shard)]
+      .slice(0, maxConditions - 1)
+      .map((other) => ({ key: KEY.shard(other), version: cache.version(KEY.shard(other)) }));
+  }
+
   #recordWithOwner(shard: number, owner: string): ShardRecord {
     const { cache, settings } = this.context;
-    const { teams } = settings.platform.deployment;
+    const teams = settings.platform.deployment.teams.map(({ name }) => name);
     const shards = shardCount(cache, settings);
-    return {
-      ...this.#record(shard),
-      owner,
-      of: shards,
-      teams: teams.filter((_, index) => index % shards === shard).map((team) => team.name),
-    };
+    const records = Array.from({ length: shards }, (_, other) => this.#record(other));
+    return { ...this.#record(shard), owner, of: shards, teams: teamsOfShard(shard, { records, teams }) };
   }
 
   #record(shard: number): ShardRecord | undefined {
