--- a/src/protocol/message-pack-check.ts
+++ b/src/protocol/message-pack-check.ts
@@ -5,7 +5,7 @@
 import { DecodedSize, MalformedMessageError, MAX_DEPTH, TEXT_BYTES } from './decoded-size';
 import type { Fields } from './message-fields';
 import { MessagePackReader, type Format } from './message-pack-reader';
-import { UnknownValueCheck } from './unknown-value-check';
+import { checkText, UnknownValueCheck } from './unknown-value-check';
 
 /** Estimated heap of values in bytes, as V8 lays them out. */
 const LIST_BYTES = 48;
@@ -127,23 +127,18 @@
 
   /** Checks an entry of a map of which only some fields are known. */
   #checkEntry(depth: number, fields: Fields): void {
-    const keyFrom = this.#reader.position;
-    const name = this.#reader.readKey();
-    if (fields.has(name)) {
-      this.#size.add(MAP_ENTRY_BYTES + TEXT_BYTES + name.length);
-      this.checkValue(depth, fields.get(name));
+    const from = this.#reader.skipKey();
+    const field = fields.find(this.message, from, this.#reader.position);
+    if (field) {
+      this.#size.add(MAP_ENTRY_BYTES + TEXT_BYTES + field.bytes.length);
+      this.checkValue(depth, field.fields);
       return;
     }
     this.hasUnknownFields = true;
-    this.#checkUnknownKey(keyFrom);
+    checkText(this.message.subarray(from, this.#reader.position), this.acceptsInvalidText);
     new UnknownValueCheck(this.#reader, this.acceptsInvalidText).checkValue();
   }
 
-  #checkUnknownKey(from: number): void {
-    const key = new MessagePackReader(this.message.subarray(from, this.#reader.position));
-    new UnknownValueCheck(key, this.acceptsInvalidText).checkValue();
-  }
-
   #checkKnownEntry(depth: number, fields: Fields | undefined): void {
     this.#size.add(MAP_ENTRY_BYTES);
     this.#checkKey();
--- a/src/protocol/message-pack-reader.ts
+++ b/src/protocol/message-pack-reader.ts
@@ -56,12 +56,9 @@
 
 /** A position in a message, which moves from value to value. */
 export class MessagePackReader {
-  readonly #bytes: Buffer;
   #position = 0;
 
-  constructor(readonly message: Uint8Array) {
-    this.#bytes = Buffer.from(message.buffer, message.byteOffset, message.byteLength);
-  }
+  constructor(readonly message: Uint8Array) {}
 
   get position(): number {
     return this.#position;
@@ -91,13 +88,11 @@
     return value;
   }
 
-  /** Reads a key of a map; characters that aren't ASCII differ from those that were sent. */
-  readKey(): string {
+  /** Moves behind a key of a map; returns where its text begins. */
+  skipKey(): number {
     const format = this.readFormat();
     if (format.kind !== 'text') throw new MalformedMessageError('a map key that is not text');
-    const length = this.readLength(format);
-    const from = this.skip(length);
-    return this.#bytes.toString('latin1', from, from + length);
+    return this.skip(this.readLength(format));
   }
 
   /** Skips the bytes of a number or text; returns where they begin. */
--- a/src/protocol/unknown-fields.ts
+++ b/src/protocol/unknown-fields.ts
@@ -55,10 +55,11 @@
     let known = 0;
     for (let entry = 0; entry < entries; entry += 1) {
       const keyFrom = this.#reader.position;
-      const name = this.#reader.readKey();
-      if (fields.has(name)) {
+      const textFrom = this.#reader.skipKey();
+      const field = fields.find(this.message, textFrom, this.#reader.position);
+      if (field) {
         this.#copyFrom(keyFrom);
-        this.#copyValue(fields.get(name));
+        this.#copyValue(field.fields);
         known += 1;
       } else {
         this.#skipValue();
--- a/src/protocol/unknown-value-check.ts
+++ b/src/protocol/unknown-value-check.ts
@@ -6,6 +6,11 @@
 /** The deepest nesting in an unknown field: more than a message of 64 KiB can have. */
 const MAX_SKIPPED_DEPTH = 64 * 1024;
 
+/** Throws `MalformedMessageError` unless the bytes are valid UTF-8, or other text is accepted. */
+export function checkText(bytes: Uint8Array, acceptsInvalidText: boolean): void {
+  if (!acceptsInvalidText && !isUtf8(bytes)) throw new MalformedMessageError('text that is not valid UTF-8');
+}
+
 /**
  * Checks one value as the protocols use them (text keys, valid UTF-8, nothing binary), however many values it has inside:
  * it takes no memory but a number for each list or map that is open. It is not recursive, since the nesting is not bounded.
@@ -64,8 +69,7 @@
 
   #checkText(length: number): void {
     const from = this.reader.skip(length);
-    if (this.acceptsInvalidText || isUtf8(this.reader.message.subarray(from, from + length))) return;
-    throw new MalformedMessageError('text that is not valid UTF-8');
+    checkText(this.reader.message.subarray(from, from + length), this.acceptsInvalidText);
   }
 
   /** Each value takes a byte at least. */
--- a/test/unknown-fields.test.ts
+++ b/test/unknown-fields.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import * as protobuf from 'protobufjs';
 import { codec } from '../src/protocol/codec';
+import { externalCodec } from '../src/protocol/external-codec';
 import { readPeerMessage, writePeerMessage } from '../src/protocol/peers';
 import { readHeartbeat } from '../src/protocol/workers';
 import { DECODERS, heartbeat } from './hostile/decoders';
@@ -66,6 +67,14 @@
   return Buffer.concat([head, Buffer.from(codec.encode('later')), value, ...fields.flat()]);
 }
 
+test('a field is known by its whole name', () => {
+  const names = ['data', 'dat', 'dats', 'daaa', `data${'x'.repeat(65_536)}`, 'dàta', ''];
+  const fields = Object.fromEntries(names.map((name) => [name, { name }]));
+  const entry = { ...fields, path: 'live/x', stamp: 7 };
+  const decoded = externalCodec.decode(codec.encode(entry));
+  assert.deepEqual(decoded, { data: { name: 'data' }, path: 'live/x', stamp: 7 });
+});
+
 test('unknown fields must still be well-formed', () => {
   const withLater = (...value: number[]): Buffer =>
     encodedWithField({ ...heartbeat, pieces: [] }, Buffer.from(value));
