Read and write 64-bit integers of peers only where a message has them

Change: the view, notifications and lease extensions are converted, the list of jobs is not.

The messages are the same: test/allowed-messages.test.ts.

--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -83,19 +83,27 @@
 
 const messageType = protobuf.parse(definition).root.lookupType('PeerMessage');
 
-function encode(message: object): Uint8Array {
-  // The library reads integers of 64 bits from text, not from bigints.
-  const fields = replaceBigInts(message, String) as Record<string, unknown>;
-  return messageType.encode(messageType.fromObject(fields)).finish();
+function encode(message: Record<string, unknown>): Uint8Array {
+  return messageType.encode(messageType.fromObject(message)).finish();
+}
+
+/** Integers of 64 bits as the library reads them: from text, not from bigints. */
+function writeIntegers(value: unknown): unknown {
+  return replaceBigInts(value, String);
+}
+
+function readIntegers<T>(value: T): T {
+  return replaceBigInts(value, fromBigInt) as T;
 }
 
 function encodeNotification({ key, version, deleted, value }: ChangeEvent): Uint8Array {
   const changeNotification = { key, version, deleted, value: deleted ? undefined : codec.encode(value) };
-  return encode({ changeNotification });
+  return encode({ changeNotification: writeIntegers(changeNotification) });
 }
 
+/** Of a heartbeat only the view has integers of 64 bits; the others may be many. */
 function encodeHeartbeat({ view, ...heartbeat }: PeerHeartbeat): Uint8Array {
-  const fields = view === undefined ? heartbeat : { ...heartbeat, view: writePeerView(view) };
+  const fields = view === undefined ? heartbeat : { ...heartbeat, view: writeIntegers(writePeerView(view)) };
   return encode({ heartbeat: fields });
 }
 
@@ -107,15 +115,15 @@
     case 'heartbeat':
       return encodeHeartbeat(message.heartbeat);
     case 'lease extension request':
-      return encode({ leaseExtensionRequest: message.request });
+      return encode({ leaseExtensionRequest: writeIntegers(message.request) });
     case 'lease extension grant':
-      return encode({ leaseExtensionGrant: message.grant });
+      return encode({ leaseExtensionGrant: writeIntegers(message.grant) });
   }
 }
 
 function readHeartbeat({ view: raw, ...heartbeat }: EncodedHeartbeat): PeerHeartbeat {
   if (raw === null || raw === undefined) return heartbeat;
-  const view = readPeerView(raw);
+  const view = readPeerView(readIntegers(raw));
   return view ? { ...heartbeat, view } : { ...heartbeat, isViewMalformed: true };
 }
 
@@ -125,9 +133,13 @@
 
 function toMessage(encoded: EncodedMessage): PeerMessage | undefined {
   const { changeNotification, heartbeat, leaseExtensionRequest, leaseExtensionGrant } = encoded;
-  if (leaseExtensionRequest) return { kind: 'lease extension request', request: leaseExtensionRequest };
-  if (leaseExtensionGrant) return { kind: 'lease extension grant', grant: leaseExtensionGrant };
-  if (changeNotification) return { kind: 'change notification', event: readNotification(changeNotification) };
+  if (leaseExtensionRequest) {
+    return { kind: 'lease extension request', request: readIntegers(leaseExtensionRequest) };
+  }
+  if (leaseExtensionGrant) return { kind: 'lease extension grant', grant: readIntegers(leaseExtensionGrant) };
+  if (changeNotification) {
+    return { kind: 'change notification', event: readNotification(readIntegers(changeNotification)) };
+  }
   return heartbeat ? { kind: 'heartbeat', heartbeat: readHeartbeat(heartbeat) } : undefined;
 }
 
@@ -135,7 +147,7 @@
 export function decodePeerMessage(bytes: Uint8Array): PeerMessage | undefined {
   checkProtobuf(bytes, messageType);
   const encoded = messageType.toObject(messageType.decode(bytes), { longs: BigInt, defaults: true });
-  return toMessage(replaceBigInts(encoded, fromBigInt) as EncodedMessage);
+  return toMessage(encoded as EncodedMessage);
 }
 
 /** Reads a peer's message; undefined when it is malformed, or of a kind that this version doesn't know. */
